--- a/src/bin/shelfbeam-drill.rs
+++ b/src/bin/hopmoor-drill.rs
@@ -6,7 +6,7 @@
 fn main() -> ExitCode {
     let mut input = io::stdin().lock();
     let mut output = io::BufWriter::new(io::stdout().lock());
-    let mut host = shelfbeam::wire::Host::default();
+    let mut host = hopmoor::drill::Host::default();
     let mut line = Vec::new();
     for number in 1u64.. {
         line.clear();
@@ -32,6 +32,6 @@
 }
 
 fn stop(line: u64, what: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("shelfbeam-drill: line {line}: {what}");
+    eprintln!("hopmoor-drill: line {line}: {what}");
     ExitCode::FAILURE
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! shelfbeam makes the decisions of a balancer for long-lived connections.
+//! hopmoor makes the decisions of a balancer for long-lived connections.
 //!
 //! The mechanism is that of King, Song and Dias (IBM RC21881): each interval a gateway forecasts every
 //! tenant's load, budgets guarantees first and spare capacity by priority, caps a tenant's connections at its
@@ -7,8 +7,8 @@
 //! carries out actions.
 //!
 //! ```
-//! use shelfbeam::{Action, Balancer, BackendId, BackendInfo, Event, ListScope, Phase, Request, RequestId};
-//! use shelfbeam::{ClassId, Settings, TenantId, ZoneId};
+//! use hopmoor::{Action, Balancer, BackendId, BackendInfo, Event, ListScope, Phase, Request, RequestId};
+//! use hopmoor::{ClassId, Settings, TenantId, ZoneId};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7);
 //! let mut actions = Vec::new();
@@ -37,9 +37,9 @@
 //! ```
 
 mod api;
+pub mod drill;
 mod logic;
 mod state;
-pub mod wire;
 
 pub use api::*;
 pub use logic::Balancer;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_shelfbeam-drill"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hopmoor-drill"));
     command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
     let mut child = command.spawn().unwrap();
     child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A relay for tests: it feeds a balancer, keeps its timers and watches what it sends.
 #![allow(dead_code)]
-use shelfbeam::*;
+use hopmoor::*;
 use std::collections::BTreeMap;
 
 pub struct Relay {
--- a/tests/wire.rs
+++ b/tests/drill.rs
@@ -1,7 +1,7 @@
 //! The wire: every event is understood, every action is written, ids are freed, and errors are plain.
+use hopmoor::drill::{Host, settings};
+use hopmoor::*;
 use serde_json::{Value, json};
-use shelfbeam::wire::{Host, settings};
-use shelfbeam::*;
 
 const SETUP: &str = r#"{"balancers": 2, "discovery": "on_request", "tickMs": 5.0, "zone": 1,
   "caps": {"cancel": true, "probing": true, "retryAfter": true, "maxRetryAfterMs": 1000.0, "mostTries": 5},
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! Forecast, budget, limit, pacing and placement, seen from outside against worked examples.
 mod common;
 use common::*;
-use shelfbeam::*;
+use hopmoor::*;
 
 fn quota(connections: &[f64]) -> Settings {
     let tenants = connections.iter().map(|c| Tenant { quota_connections: *c }).collect();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The four rules, each kept by a single gateway.
 mod common;
 use common::*;
-use shelfbeam::*;
+use hopmoor::*;
 
 fn settings() -> Settings {
     Settings { tick_ms: 5.0, cancel: true, max_retry_after_ms: 500.0, most_tries: 4, ..Settings::default() }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -1,7 +1,7 @@
 //! Failures met in incidents: each test is the small form of one.
 mod common;
 use common::*;
-use shelfbeam::*;
+use hopmoor::*;
 
 fn settings() -> Settings {
     let classes = vec![Class { message_aim_ms: 50.0, ..Class::default() }];
