--- /dev/null
+++ b/src/broker/counters.rs
@@ -0,0 +1,89 @@
+//! Counters of what is taken in, sent and answered.
+
+use crate::api::Outcome;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[doc = $doc:literal])* $name:ident),* $(,)?) => {
+        /// What a node has counted since its start; `open` and `held` are readings of the moment.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $($(#[doc = $doc])* pub $name: u64),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let pairs = [$((stringify!($name), self.$name)),*];
+                for (at, (name, value)) in pairs.into_iter().enumerate() {
+                    write!(f, "{}{name}={value}", if at == 0 { "" } else { " " })?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    connections,
+    /// Transactions taken in.
+    asks,
+    /// Connections that had stood before the node started.
+    adopted,
+    /// First lines, or streams, that could not be understood.
+    malformed,
+    /// Clients that left before their answer or ended their connection.
+    left,
+    /// Server-side flows opened.
+    flows,
+    /// Transactions answered by a pool member that serves them.
+    served,
+    /// Transactions rejected.
+    rejected,
+    /// Transactions failed.
+    failed,
+    /// Clients moved.
+    moved,
+    /// Flows that a pool member turned away.
+    flows_full,
+    /// Flows that a pool member answered with an error.
+    flows_error,
+    /// Flows without an answer in time.
+    flows_timed_out,
+    /// Flows that got no connection.
+    flows_unreachable,
+    /// Flows that broke before their answer.
+    flows_reset,
+    /// Flows given up, or sent away by a pool member.
+    flows_cancelled,
+    /// Standing connections that broke.
+    broken,
+    /// Standing connections that ended in good order.
+    ended,
+    /// Probes sent.
+    probes,
+    /// Probes answered.
+    probes_answered,
+    /// Lists and changes that discovery gave.
+    lists,
+    /// Calls to discovery that failed.
+    discovery_failures,
+    /// Connections that stand now.
+    open,
+    /// Transactions that wait for their answer now.
+    held,
+}
+
+pub(super) fn count_outcome(counters: &mut Counters, outcome: Outcome, stood: bool) {
+    let counter = match (outcome, stood) {
+        (Outcome::Ok | Outcome::Cancelled, true) => &mut counters.ended,
+        (_, true) => &mut counters.broken,
+        (Outcome::Full, _) => &mut counters.flows_full,
+        (Outcome::Error, _) => &mut counters.flows_error,
+        (Outcome::TimedOut, _) => &mut counters.flows_timed_out,
+        (Outcome::Unreachable, _) => &mut counters.flows_unreachable,
+        (Outcome::Reset, _) => &mut counters.flows_reset,
+        (Outcome::Cancelled, _) => &mut counters.flows_cancelled,
+        (Outcome::Ok, _) => &mut counters.served,
+        (Outcome::NotSent, _) => return,
+    };
+    *counter += 1;
+}
--- /dev/null
+++ b/src/broker/mod.rs
@@ -0,0 +1,693 @@
+//! The core: transactions, their server-side flows, the pool and every deadline.
+//!
+//! It knows no wire, no socket and no clock. A front says what a client or a pool member did ([`Said`]); the
+//! broker feeds the decision module the events that the simulator would give and turns the module's actions
+//! into [`Order`]s. Every rule that both fronts must keep is kept here: one final answer per transaction in
+//! time, at most one flow out, nothing new to a member that drains or is gone.
+
+mod counters;
+mod delay;
+mod pool;
+mod timers;
+
+pub use counters::Counters;
+
+use crate::api::*;
+use crate::config::Site;
+use crate::pool::PoolList;
+use counters::count_outcome;
+use delay::Delays;
+use pool::Pool;
+use std::collections::{BTreeMap, VecDeque};
+use timers::Timers;
+
+/// Number of a transaction: one client connection's one request.
+pub type TransactionId = RequestId;
+
+/// Pause before an adopted connection that its member did not take is tried there again.
+const ADOPT_PAUSE_MS: Millis = 500.0;
+/// Attempts of one transaction, whatever the settings say.
+const MOST_FLOWS: u32 = 6;
+/// Steps in which clients are moved before the node ends.
+const LEAVE_STEP_MS: Millis = 50.0;
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The group whose connections share work.
+    pub group: Option<AffinityKey>,
+    /// What it is about.
+    pub key: Option<AffinityKey>,
+    /// How long the client may be kept waiting, answer included.
+    pub grace_ms: Millis,
+    /// Expected load.
+    pub load_hint: Option<f64>,
+    /// The member that already holds it.
+    pub adopted: Option<String>,
+    /// Setting it up takes several exchanges with the member, which end when the member drains.
+    pub negotiates: bool,
+}
+
+/// What a front says of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// The client has asked.
+    Ask(Ask),
+    /// A readiness check waits for [`Command::Ready`].
+    Ping,
+    /// The flow has a connection.
+    Connected,
+    /// Something that the member sent has reached the client: no other member may take over.
+    Committed,
+    /// The member serves; from now on the transaction is a connection.
+    Up,
+    /// The flow ended.
+    Ended(Outcome, Option<Report>),
+    /// The client is gone.
+    Left,
+    /// A relayed line was answered by the member after this time.
+    Message(Millis),
+    /// The connection's load, in microseconds of work a second.
+    Load(f64),
+    /// The client sent something that can't be understood; it was answered by the front.
+    Malformed,
+}
+
+/// Why a transaction failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The deadline came.
+    Deadline,
+    /// The member that had begun to answer did not finish.
+    Broken,
+    /// The decision module gave it up.
+    GivenUp,
+    /// The connection that was to be adopted could not be.
+    NotAdopted,
+}
+
+/// What a front is to do for a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// The node is ready.
+    Ready,
+    /// Open a server-side flow.
+    Open {
+        /// Its member's address.
+        dial: String,
+        /// Its member's name.
+        member: String,
+        /// How long the broker will wait for it to be up.
+        wait_ms: Millis,
+    },
+    /// Give up the flow: close it at once.
+    Abandon,
+    /// Final answer: reject; come again after so many milliseconds.
+    Reject(Millis),
+    /// Final answer: failed.
+    Fail(Failure),
+    /// The client is to come again: tell it so and end the connection.
+    Move,
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Hand this to the transaction's front.
+    Front(TransactionId, Command),
+    /// Probe a member and report with [`Broker::probed`].
+    Probe {
+        /// Its number.
+        member: BackendId,
+        /// Its address.
+        dial: String,
+    },
+    /// Watch discovery from the pool's version on, or stop.
+    Watch(bool),
+    /// Fetch the whole list once.
+    Fetch,
+    /// Write a log line.
+    Log(LogLine),
+}
+
+/// Things worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LogLine {
+    /// The decision module's own words.
+    Module(String),
+    /// The decision module reports a defect of its own.
+    Fault(String),
+    /// A transaction had no answer at its deadline; the broker failed it.
+    Overdue(TransactionId),
+    /// The module named a member that may not be sent to.
+    Withheld(TransactionId, String),
+    /// A pool member changed.
+    Member(String, Phase),
+    /// An attempt failed.
+    Flow {
+        /// Whose.
+        id: TransactionId,
+        /// At which member.
+        member: String,
+        /// How.
+        outcome: Outcome,
+        /// After how long.
+        took_ms: Millis,
+        /// Whether it stood.
+        stood: bool,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// No flow is out.
+    Held,
+    /// A flow is out, with a connection or without.
+    Out { connected: bool },
+    /// It stands.
+    Up,
+}
+
+#[derive(Debug)]
+struct Transaction {
+    request: Request,
+    stage: Stage,
+    flows: u32,
+    member: Option<BackendId>,
+    member_name: String,
+    sent: Millis,
+    deadline: Millis,
+    adopted: bool,
+    negotiates: bool,
+    committed: bool,
+    told: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Due {
+    Module(TimerId),
+    Connect(TransactionId, u32),
+    Flow(TransactionId, u32),
+    Answer(TransactionId),
+    Adopt(TransactionId),
+    Leave,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    until: Millis,
+}
+
+/// The core of a node.
+pub struct Broker {
+    balancer: crate::Balancer,
+    connect_ms: Millis,
+    most_flows: u32,
+    next: u64,
+    transactions: BTreeMap<TransactionId, Transaction>,
+    pings: Vec<TransactionId>,
+    pool: Pool,
+    delays: Delays,
+    timers: Timers<Due>,
+    events: VecDeque<Event>,
+    handling: bool,
+    watching: bool,
+    ready: bool,
+    leaving: Option<Leaving>,
+    orders: VecDeque<Order>,
+    counters: Counters,
+}
+
+impl Broker {
+    /// A broker that knows the pool as it was last known.
+    pub fn new(now: Millis, site: &Site, seed: u64, known: PoolList) -> Self {
+        let settings = site.settings.clone();
+        let mut broker = Broker {
+            connect_ms: settings.connect_timeout_ms,
+            most_flows: settings.most_tries.clamp(1, MOST_FLOWS),
+            delays: Delays::new(settings.tells_delay, settings.shortest_message_aim()),
+            balancer: crate::Balancer::new(settings, seed),
+            next: 0,
+            transactions: BTreeMap::new(),
+            pings: Vec::new(),
+            pool: Pool::default(),
+            timers: Timers::default(),
+            events: VecDeque::new(),
+            handling: false,
+            watching: false,
+            ready: false,
+            leaving: None,
+            orders: VecDeque::new(),
+            counters: Counters::default(),
+        };
+        broker.list(now, known, ListScope::Stale);
+        broker
+    }
+
+    /// What it has counted so far.
+    pub fn counters(&self) -> Counters {
+        let up = self.transactions.values().filter(|t| t.stage == Stage::Up).count() as u64;
+        Counters { open: up, held: self.transactions.len() as u64 - up, ..self.counters.clone() }
+    }
+
+    /// A number for a new client connection.
+    pub fn next_id(&mut self) -> TransactionId {
+        self.next += 1;
+        self.counters.connections += 1;
+        RequestId(self.next)
+    }
+
+    /// What the driver is to do next, in order.
+    pub fn order(&mut self) -> Option<Order> {
+        self.orders.pop_front()
+    }
+
+    /// When [`Broker::tick`] is due.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.timers.next()
+    }
+
+    /// The version of the list that is held.
+    pub fn pool_seq(&self) -> u64 {
+        self.pool.seq
+    }
+
+    /// Transactions that are not over.
+    pub fn transactions(&self) -> usize {
+        self.transactions.len()
+    }
+
+    /// Nothing waits any more for the first word of discovery.
+    pub fn set_ready(&mut self) {
+        self.ready = true;
+        for id in std::mem::take(&mut self.pings) {
+            self.orders.push_back(Order::Front(id, Command::Ready));
+        }
+    }
+
+    // ---- Pool ----
+
+    /// Discovery has answered.
+    pub fn listed(&mut self, now: Millis, list: PoolList) {
+        self.counters.lists += 1;
+        let scope = if list.whole { ListScope::Whole } else { ListScope::Patch };
+        self.list(now, list, scope);
+        self.set_ready();
+    }
+
+    fn list(&mut self, now: Millis, list: PoolList, scope: ListScope) {
+        let (entries, changed) = self.pool.merge(list, scope != ListScope::Patch);
+        for (name, phase) in changed {
+            self.orders.push_back(Order::Log(LogLine::Member(name, phase)));
+        }
+        self.feed(now, Event::Backends { scope, entries });
+        self.end_negotiations(now);
+    }
+
+    /// A call to discovery failed, or the watch broke.
+    pub fn discovery_failed(&mut self, now: Millis) {
+        self.counters.discovery_failures += 1;
+        self.watching = false;
+        self.feed(now, Event::DiscoveryFailed);
+    }
+
+    /// A stream that is being negotiated with a member that may take nothing new any more ends there: each
+    /// further step of the negotiation would be new work.
+    fn end_negotiations(&mut self, now: Millis) {
+        let doomed = |t: &&mut Transaction| {
+            let serving = t.member.is_some_and(|member| self.pool.serving(member));
+            t.negotiates && matches!(t.stage, Stage::Out { .. }) && !serving
+        };
+        let ids: Vec<_> =
+            self.transactions.values_mut().filter(doomed).map(|t| (t.request.id, t.committed)).collect();
+        for (id, committed) in ids {
+            if committed {
+                self.send_away(now, id);
+            } else {
+                self.orders.push_back(Order::Front(id, Command::Abandon));
+                self.flow_ended(now, id, Outcome::Cancelled, None);
+            }
+        }
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, now: Millis, member: BackendId, outcome: Outcome, report: Option<Report>) {
+        self.counters.probes_answered += u64::from(outcome == Outcome::Ok);
+        self.feed(now, Event::ProbeEnded { backend: member, outcome, report });
+    }
+
+    // ---- What fronts say ----
+
+    /// Takes what a front says of a transaction.
+    pub fn hear(&mut self, now: Millis, id: TransactionId, said: Said) {
+        match said {
+            Said::Ask(ask) => self.asked(now, id, ask),
+            Said::Ping if self.ready => self.orders.push_back(Order::Front(id, Command::Ready)),
+            Said::Ping => self.pings.push(id),
+            Said::Malformed => self.counters.malformed += 1,
+            Said::Connected => {
+                if let Some(t) = self.transactions.get_mut(&id)
+                    && matches!(t.stage, Stage::Out { .. })
+                {
+                    t.stage = Stage::Out { connected: true };
+                }
+            }
+            Said::Committed => {
+                if let Some(t) = self.transactions.get_mut(&id) {
+                    t.committed = true;
+                }
+            }
+            Said::Up => self.up(now, id),
+            Said::Ended(outcome, report) => self.flow_ended(now, id, outcome, report),
+            Said::Left => self.left(now, id),
+            Said::Message(took_ms) => {
+                let up = self.transactions.get(&id).filter(|t| t.stage == Stage::Up);
+                let Some(member) = up.and_then(|t| t.member) else { return };
+                if let Some(took_ms) = self.delays.sample(now, member, took_ms) {
+                    self.feed(now, Event::MessageDelay { backend: member, took_ms });
+                }
+            }
+            Said::Load(load) => self.feed(now, Event::LoadChanged { id, load }),
+        }
+    }
+
+    fn asked(&mut self, now: Millis, id: TransactionId, ask: Ask) {
+        if self.transactions.contains_key(&id) {
+            return;
+        }
+        self.counters.asks += 1;
+        let grace_ms = if ask.grace_ms.is_finite() { ask.grace_ms.max(0.0) } else { 0.0 };
+        let request = Request {
+            id,
+            tenant: ask.tenant,
+            class: ask.class,
+            group: ask.group,
+            key: ask.key,
+            grace_ms,
+            load_hint: ask.load_hint,
+            mid_flow: false,
+        };
+        let deadline = now + grace_ms;
+        let holder = ask.adopted.as_deref().and_then(|name| self.pool.named(name));
+        let holder = holder.filter(|member| self.pool.serving(*member));
+        self.transactions.insert(
+            id,
+            Transaction {
+                request,
+                stage: Stage::Held,
+                flows: 0,
+                member: holder,
+                member_name: String::new(),
+                sent: now,
+                deadline,
+                adopted: holder.is_some(),
+                negotiates: ask.negotiates,
+                committed: false,
+                told: holder.is_none(),
+            },
+        );
+        self.timers.set(deadline, Due::Answer(id));
+        match holder {
+            Some(member) => self.open(now, id, member, grace_ms),
+            // A holder that has gone since can't be asked: the connection is placed like a new one.
+            None => self.feed(now, Event::Request(request)),
+        }
+    }
+
+    fn up(&mut self, now: Millis, id: TransactionId) {
+        let Some(t) = self.transactions.get_mut(&id).filter(|t| matches!(t.stage, Stage::Out { .. })) else {
+            return;
+        };
+        t.stage = Stage::Up;
+        self.counters.served += 1;
+        let (request, took_ms) = (t.request, now - t.sent);
+        if let (true, Some(backend)) = (t.adopted, t.member) {
+            t.told = true;
+            self.counters.adopted += 1;
+            self.feed(now, Event::Adopted { request, backend });
+        } else {
+            self.feed(now, Event::Established { id, took_ms });
+        }
+    }
+
+    fn flow_ended(&mut self, now: Millis, id: TransactionId, outcome: Outcome, report: Option<Report>) {
+        let Some(t) = self.transactions.get_mut(&id).filter(|t| t.stage != Stage::Held) else { return };
+        let Some(member) = t.member else { return };
+        let stood = t.stage == Stage::Up;
+        let attempt = t.flows.saturating_sub(1);
+        count_outcome(&mut self.counters, outcome, stood);
+        if outcome != Outcome::Ok && outcome != Outcome::Cancelled {
+            let (member, took_ms) = (t.member_name.clone(), now - t.sent);
+            self.orders.push_back(Order::Log(LogLine::Flow { id, member, outcome, took_ms, stood }));
+        }
+        t.stage = Stage::Held;
+        if t.adopted && !t.told {
+            // The module has not heard of it: an adopted connection goes to its member or nowhere.
+            if t.flows < self.most_flows && now + ADOPT_PAUSE_MS < t.deadline {
+                self.timers.set(now + ADOPT_PAUSE_MS, Due::Adopt(id));
+            } else {
+                self.answer(id, Command::Fail(Failure::NotAdopted));
+            }
+            return;
+        }
+        // What the member sent has reached the client, so that no other member can take over.
+        let closed = stood || outcome == Outcome::Ok || t.committed;
+        if closed {
+            if t.committed && !stood && outcome != Outcome::Ok {
+                self.answer(id, Command::Fail(Failure::Broken));
+            }
+            self.transactions.remove(&id);
+        }
+        self.feed(now, Event::Ended { id, attempt, backend: member, outcome, closed, report });
+    }
+
+    fn left(&mut self, now: Millis, id: TransactionId) {
+        self.pings.retain(|ping| *ping != id);
+        let Some(t) = self.transactions.get(&id) else { return };
+        self.counters.left += 1;
+        let (stage, told) = (t.stage, t.told);
+        if stage == Stage::Up {
+            return self.flow_ended(now, id, Outcome::Cancelled, None);
+        }
+        if told {
+            self.feed(now, Event::Departed { id });
+        }
+        if stage != Stage::Held {
+            self.orders.push_back(Order::Front(id, Command::Abandon));
+        }
+        let Some(t) = self.transactions.remove(&id) else { return };
+        if let (true, Stage::Out { .. }, Some(backend)) = (told, stage, t.member) {
+            let attempt = t.flows.saturating_sub(1);
+            let outcome = Outcome::Cancelled;
+            self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
+        }
+    }
+
+    // ---- The module ----
+
+    /// Feeds the module one event. What its actions bring about at once is fed after it, in order.
+    fn feed(&mut self, now: Millis, event: Event) {
+        self.events.push_back(event);
+        if std::mem::replace(&mut self.handling, true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action);
+            }
+        }
+        self.handling = false;
+    }
+
+    fn act(&mut self, now: Millis, action: Action) {
+        match action {
+            Action::Attempt { id, backend, timeout_ms } => self.attempt(now, id, backend, timeout_ms),
+            Action::CancelAttempt { id, .. } => {
+                if matches!(self.transactions.get(&id), Some(t) if matches!(t.stage, Stage::Out { .. })) {
+                    self.orders.push_back(Order::Front(id, Command::Abandon));
+                    self.flow_ended(now, id, Outcome::Cancelled, None);
+                }
+            }
+            Action::Move { id } => {
+                if matches!(self.transactions.get(&id), Some(t) if t.stage == Stage::Up) {
+                    self.send_away(now, id);
+                }
+            }
+            Action::Refuse { id, retry_after_ms } => self.answer(id, Command::Reject(retry_after_ms)),
+            Action::Fail { id } => self.answer(id, Command::Fail(Failure::GivenUp)),
+            Action::Probe { backend } => match self.pool.dial(backend) {
+                Some(dial) => {
+                    self.counters.probes += 1;
+                    self.orders.push_back(Order::Probe { member: backend, dial });
+                }
+                None => self.events.push_back(Event::ProbeEnded {
+                    backend,
+                    outcome: Outcome::NotSent,
+                    report: None,
+                }),
+            },
+            Action::Subscribe { on } => {
+                if on != std::mem::replace(&mut self.watching, on) {
+                    self.orders.push_back(Order::Watch(on));
+                }
+            }
+            Action::FetchList => self.orders.push_back(Order::Fetch),
+            // Flows are never reused and nodes do not talk to each other: nothing to close, nobody to tell.
+            Action::CloseIdle { .. } | Action::Tell { .. } => {}
+            Action::Log(what) => self.orders.push_back(Order::Log(LogLine::Module(what))),
+            Action::Fault(what) => self.orders.push_back(Order::Log(LogLine::Fault(what))),
+            Action::SetTimer { at, id } => self.timers.set(at, Due::Module(id)),
+        }
+    }
+
+    fn attempt(&mut self, now: Millis, id: TransactionId, member: BackendId, timeout_ms: Millis) {
+        let Some(t) = self.transactions.get(&id).filter(|t| t.stage == Stage::Held) else { return };
+        if t.flows >= self.most_flows || timeout_ms <= 0.0 || !self.pool.serving(member) {
+            let name = self.pool.name(member);
+            self.orders.push_back(Order::Log(LogLine::Withheld(id, name)));
+            let (attempt, outcome) = (t.flows, Outcome::NotSent);
+            let ended = Event::Ended { id, attempt, backend: member, outcome, closed: false, report: None };
+            return self.events.push_back(ended);
+        }
+        let left = t.deadline - now;
+        self.open(now, id, member, timeout_ms.min(left));
+    }
+
+    fn open(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
+        let Some(dial) = self.pool.dial(member) else { return };
+        let name = self.pool.name(member);
+        let Some(t) = self.transactions.get_mut(&id) else { return };
+        t.stage = Stage::Out { connected: false };
+        t.flows += 1;
+        t.sent = now;
+        t.member = Some(member);
+        t.member_name.clone_from(&name);
+        self.counters.flows += 1;
+        self.timers.set(now + self.connect_ms, Due::Connect(id, t.flows));
+        self.timers.set(now + wait_ms, Due::Flow(id, t.flows));
+        self.orders.push_back(Order::Front(id, Command::Open { dial, member: name, wait_ms }));
+    }
+
+    /// Gives the final answer and forgets the transaction.
+    fn answer(&mut self, id: TransactionId, command: Command) {
+        if self.transactions.remove(&id).is_some() {
+            match command {
+                Command::Reject(_) => self.counters.rejected += 1,
+                _ => self.counters.failed += 1,
+            }
+            self.orders.push_back(Order::Front(id, command));
+        }
+    }
+
+    /// Moves a client: its connection, or what has been negotiated of it, ends in good order.
+    fn send_away(&mut self, now: Millis, id: TransactionId) {
+        let Some(t) = self.transactions.remove(&id) else { return };
+        let Some(backend) = t.member else { return };
+        self.counters.moved += 1;
+        self.orders.push_back(Order::Front(id, Command::Move));
+        let (attempt, outcome) = (t.flows.saturating_sub(1), Outcome::Cancelled);
+        self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
+    }
+
+    // ---- Time ----
+
+    /// Does what has fallen due.
+    pub fn tick(&mut self, now: Millis) {
+        for due in self.timers.due(now) {
+            match due {
+                Due::Module(id) => self.feed(now, Event::Timer(id)),
+                Due::Connect(id, flow) if self.out(id, flow) == Some(false) => {
+                    self.give_up(now, id, Outcome::Unreachable)
+                }
+                Due::Flow(id, flow) if self.out(id, flow).is_some() => {
+                    self.give_up(now, id, Outcome::TimedOut)
+                }
+                Due::Connect(..) | Due::Flow(..) => {}
+                Due::Answer(id) => self.overdue(now, id),
+                Due::Adopt(id) => {
+                    let held = self.transactions.get(&id).filter(|t| t.stage == Stage::Held);
+                    let Some((member, left)) = held.and_then(|t| Some((t.member?, t.deadline - now))) else {
+                        continue;
+                    };
+                    if self.pool.serving(member) {
+                        self.open(now, id, member, left);
+                    } else {
+                        self.answer(id, Command::Fail(Failure::NotAdopted));
+                    }
+                }
+                Due::Leave => self.leave_step(now),
+            }
+        }
+    }
+
+    /// Whether this flow of the transaction is out, and if so whether it has a connection.
+    fn out(&self, id: TransactionId, flow: u32) -> Option<bool> {
+        match self.transactions.get(&id) {
+            Some(Transaction { stage: Stage::Out { connected }, flows, .. }) if *flows == flow => {
+                Some(*connected)
+            }
+            _ => None,
+        }
+    }
+
+    fn give_up(&mut self, now: Millis, id: TransactionId, outcome: Outcome) {
+        self.orders.push_back(Order::Front(id, Command::Abandon));
+        self.flow_ended(now, id, outcome, None);
+    }
+
+    /// Guards the first rule against a module that lets a deadline pass: the client gets its answer.
+    fn overdue(&mut self, now: Millis, id: TransactionId) {
+        let Some(t) = self.transactions.get(&id).filter(|t| t.stage != Stage::Up) else { return };
+        let (out, told) = (t.stage != Stage::Held, t.told);
+        let ended = Event::Ended {
+            id,
+            attempt: t.flows.saturating_sub(1),
+            backend: t.member.unwrap_or_default(),
+            outcome: Outcome::TimedOut,
+            closed: true,
+            report: None,
+        };
+        self.orders.push_back(Order::Log(LogLine::Overdue(id)));
+        if out {
+            self.orders.push_back(Order::Front(id, Command::Abandon));
+        }
+        self.answer(id, Command::Fail(Failure::Deadline));
+        if told {
+            self.feed(now, Event::Departed { id });
+            if out {
+                self.feed(now, ended);
+            }
+        }
+    }
+
+    // ---- The end of the node ----
+
+    /// Begins to move all clients, evenly until then. New ones are still served, and moved in their turn.
+    pub fn leave(&mut self, now: Millis, until: Millis) {
+        if self.leaving.is_none() {
+            self.leaving = Some(Leaving { until });
+            self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
+        }
+    }
+
+    fn leave_step(&mut self, now: Millis) {
+        let Some(Leaving { until }) = self.leaving else { return };
+        let up: Vec<_> =
+            self.transactions.iter().filter(|(_, t)| t.stage == Stage::Up).map(|(id, _)| *id).collect();
+        let steps = ((until - now) / LEAVE_STEP_MS).floor().max(1.0);
+        let part = (up.len() as f64 / steps).ceil() as usize;
+        for id in up.into_iter().take(part) {
+            self.send_away(now, id);
+        }
+        self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/broker/pool.rs
@@ -0,0 +1,64 @@
+//! The pool as the broker holds it: members by number, and whether one may be sent to.
+
+use crate::api::{BackendId, BackendInfo, Phase};
+use crate::pool::{Member, PoolList, name_hash};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub(super) struct Pool {
+    pub(super) seq: u64,
+    members: BTreeMap<BackendId, Member>,
+}
+
+impl Pool {
+    /// Takes a list or changes; returns them in the module's terms, and which members changed state.
+    pub(super) fn merge(&mut self, list: PoolList, all: bool) -> (Vec<BackendInfo>, Vec<(String, Phase)>) {
+        self.seq = list.seq;
+        let before = if all { std::mem::take(&mut self.members) } else { self.members.clone() };
+        let mut lines = Vec::with_capacity(list.members.len());
+        let mut changed = Vec::new();
+        for member in list.members {
+            let id = self.number(&member.name);
+            lines.push(member.info(id));
+            if before.get(&id).is_none_or(|old| old.phase != member.phase || old.born != member.born) {
+                changed.push((member.name.clone(), member.phase));
+            }
+            if member.phase == Phase::Gone {
+                self.members.remove(&id);
+            } else {
+                self.members.insert(id, member);
+            }
+        }
+        if all {
+            let lost = before.into_iter().filter(|(id, _)| !self.members.contains_key(id));
+            changed.extend(lost.map(|(_, member)| (member.name, Phase::Gone)));
+        }
+        (lines, changed)
+    }
+
+    /// A member's number is a hash of its name, so that it is the same at every node.
+    fn number(&self, name: &str) -> BackendId {
+        let mut id = BackendId(name_hash(name));
+        while self.members.get(&id).is_some_and(|known| known.name != name) {
+            id = BackendId(id.0.wrapping_add(1));
+        }
+        id
+    }
+
+    pub(super) fn named(&self, name: &str) -> Option<BackendId> {
+        Some(self.number(name)).filter(|id| self.members.contains_key(id))
+    }
+
+    /// Whether something new may be sent there: listed, and neither draining nor gone.
+    pub(super) fn serving(&self, id: BackendId) -> bool {
+        self.members.get(&id).is_some_and(|member| member.phase == Phase::Serving)
+    }
+
+    pub(super) fn dial(&self, id: BackendId) -> Option<String> {
+        self.members.get(&id).map(|member| member.dial.clone())
+    }
+
+    pub(super) fn name(&self, id: BackendId) -> String {
+        self.members.get(&id).map_or_else(|| format!("{:016x}", id.0), |member| member.name.clone())
+    }
+}
--- /dev/null
+++ b/src/broker/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,241 @@
+//! Discovery's front: one HTTP/1.1 call as a state machine, fed bytes and yielding a body.
+
+use winnow::Parser;
+use winnow::ascii::{digit1, hex_digit1, line_ending, space0, till_line_ending};
+use winnow::combinator::{alt, preceded, repeat, terminated};
+use winnow::error::ContextError;
+use winnow::stream::Partial;
+use winnow::token::{take, take_till, take_while};
+
+/// The longest head and the longest body taken.
+const HEAD: usize = 16 * 1024;
+const BODY: usize = 4 * 1024 * 1024;
+
+/// The request for the whole list.
+pub fn whole(authority: &str) -> String {
+    format!("GET /v1/endpoints HTTP/1.1\r\nHost: {authority}\r\nAccept: application/json\r\n\r\n")
+}
+
+/// The request for what is newer than `seq`, waited for up to `wait_ms`.
+pub fn since(authority: &str, seq: u64, wait_ms: u64) -> String {
+    format!(
+        "GET /v1/endpoints?since={seq}&timeout_ms={wait_ms} HTTP/1.1\r\nHost: {authority}\r\nAccept: application/json\r\n\r\n"
+    )
+}
+
+/// A complete answer.
+#[derive(Debug, PartialEq)]
+pub struct Reply {
+    /// The status code.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether the connection can carry another call.
+    pub reusable: bool,
+}
+
+/// What is wrong with an answer.
+#[derive(Debug, PartialEq)]
+pub struct ReplyError(pub &'static str);
+
+impl std::fmt::Display for ReplyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl std::error::Error for ReplyError {}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Length {
+    Fixed(usize),
+    Chunked,
+    ToEnd,
+}
+
+#[derive(Debug)]
+struct Head {
+    status: u16,
+    length: Length,
+    reusable: bool,
+}
+
+/// The answer to one call, as far as it has come.
+#[derive(Debug, Default)]
+pub struct Call {
+    buffer: Vec<u8>,
+    head: Option<Head>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// Takes bytes; returns the answer once it is whole.
+    ///
+    /// # Errors
+    /// If it is not HTTP, or longer than is taken.
+    pub fn take(&mut self, bytes: &[u8]) -> Result<Option<Reply>, ReplyError> {
+        self.buffer.extend_from_slice(bytes);
+        if self.head.is_none() {
+            let mut input = Partial::new(&self.buffer[..]);
+            match head.parse_next(&mut input) {
+                Ok(parsed) => {
+                    let used = self.buffer.len() - input.len();
+                    if used > HEAD {
+                        return Err(ReplyError("head too long"));
+                    }
+                    self.head = Some(parsed.ok_or(ReplyError("length of the body not understood"))?);
+                    self.buffer.drain(..used);
+                }
+                Err(winnow::error::ErrMode::Incomplete(_)) if self.buffer.len() <= HEAD => return Ok(None),
+                Err(winnow::error::ErrMode::Incomplete(_)) => return Err(ReplyError("head too long")),
+                Err(_) => return Err(ReplyError("not HTTP/1.1")),
+            }
+        }
+        let length = self.head.as_ref().map(|head| head.length);
+        if self.buffer.len() + self.body.len() > BODY {
+            return Err(ReplyError("body too long"));
+        }
+        match length {
+            Some(Length::Fixed(length)) if length > BODY => Err(ReplyError("body too long")),
+            Some(Length::Fixed(length)) if self.buffer.len() >= length => {
+                self.body = self.buffer.drain(..length).collect();
+                Ok(self.reply())
+            }
+            Some(Length::Chunked) => self.chunks(),
+            _ => Ok(None),
+        }
+    }
+
+    /// The connection has ended; an answer without a length is whole now.
+    ///
+    /// # Errors
+    /// If the answer is not whole.
+    pub fn end(&mut self) -> Result<Reply, ReplyError> {
+        if self.head.as_ref().is_some_and(|head| head.length == Length::ToEnd) {
+            self.body = std::mem::take(&mut self.buffer);
+            return self.reply().ok_or(ReplyError("connection ended"));
+        }
+        Err(ReplyError("connection ended"))
+    }
+
+    fn chunks(&mut self) -> Result<Option<Reply>, ReplyError> {
+        loop {
+            let mut input = Partial::new(&self.buffer[..]);
+            let (data, used) = match chunk.parse_next(&mut input) {
+                Ok(data) => (data.to_vec(), self.buffer.len() - input.len()),
+                Err(winnow::error::ErrMode::Incomplete(_)) => return Ok(None),
+                Err(_) => return Err(ReplyError("bad chunk")),
+            };
+            self.buffer.drain(..used);
+            if data.is_empty() {
+                return Ok(self.reply());
+            }
+            self.body.extend_from_slice(&data);
+        }
+    }
+
+    fn reply(&mut self) -> Option<Reply> {
+        let head = self.head.take()?;
+        let reusable = head.reusable && head.length != Length::ToEnd && self.buffer.is_empty();
+        Some(Reply { status: head.status, body: std::mem::take(&mut self.body), reusable })
+    }
+}
+
+type Input<'a> = Partial<&'a [u8]>;
+type Error = winnow::error::ErrMode<ContextError>;
+
+fn number(text: &[u8], radix: u32) -> Option<usize> {
+    usize::from_str_radix(std::str::from_utf8(text).ok()?, radix).ok()
+}
+
+fn head(input: &mut Input<'_>) -> Result<Option<Head>, Error> {
+    let version = alt((b"HTTP/1.1".value(true), b"HTTP/1.0".value(false)));
+    let status = preceded(b' ', take_while(3, |b: u8| b.is_ascii_digit()));
+    let (mut reusable, status, _, _) = (version, status, till_line_ending, line_ending).parse_next(input)?;
+    let header = (
+        terminated(take_till(1.., |b: u8| b == b':' || b == b'\r' || b == b'\n'), b':'),
+        preceded(space0, till_line_ending),
+        line_ending,
+    );
+    let headers: Vec<(&[u8], &[u8])> =
+        repeat(0.., header.map(|(name, value, _)| (name, value))).parse_next(input)?;
+    line_ending.parse_next(input)?;
+    let mut length = Some(Length::ToEnd);
+    for (name, value) in headers {
+        let value = value.trim_ascii();
+        if name.eq_ignore_ascii_case(b"content-length") {
+            length = digits(value).map(Length::Fixed);
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            length = value.eq_ignore_ascii_case(b"chunked").then_some(Length::Chunked);
+        } else if name.eq_ignore_ascii_case(b"connection") && value.eq_ignore_ascii_case(b"close") {
+            reusable = false;
+        }
+    }
+    let status = number(status, 10).unwrap_or(0) as u16;
+    Ok(length.map(|length| Head { status, length, reusable }))
+}
+
+fn digits(value: &[u8]) -> Option<usize> {
+    let digits: winnow::Result<&[u8], ContextError> = digit1.parse_next(&mut &*value);
+    number(digits.ok().filter(|digits| digits.len() == value.len())?, 10)
+}
+
+/// One chunk; an empty one is the last.
+fn chunk<'a>(input: &mut Input<'a>) -> Result<&'a [u8], Error> {
+    let size = terminated(hex_digit1, (till_line_ending, line_ending)).parse_next(input)?;
+    let size = number(size, 16).filter(|size| *size <= BODY);
+    let size = size.ok_or_else(|| winnow::error::ErrMode::Cut(ContextError::new()))?;
+    let data: &[u8] = take(size).parse_next(input)?;
+    if size == 0 {
+        // Trailers, then an empty line.
+        let trailer =
+            (take_till(1.., |b: u8| b == b'\r' || b == b'\n'), line_ending).map(|_: (&[u8], &[u8])| ());
+        let () = repeat(0.., trailer).parse_next(input)?;
+    }
+    line_ending.parse_next(input)?;
+    Ok(data)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fed(answer: &str, step: usize) -> Result<Option<Reply>, ReplyError> {
+        let mut call = Call::default();
+        let mut found = None;
+        for part in answer.as_bytes().chunks(step) {
+            found = call.take(part)?;
+        }
+        Ok(found)
+    }
+
+    #[test]
+    fn an_answer_is_whole_however_it_is_cut() {
+        let fixed = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX: y\r\n\r\nhello";
+        let chunked =
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=1\r\nlo\r\n0\r\n\r\n";
+        for answer in [fixed, chunked] {
+            for step in 1..answer.len() {
+                let reply = fed(answer, step).unwrap().unwrap();
+                assert_eq!((reply.status, &reply.body[..], reply.reusable), (200, &b"hello"[..], true));
+            }
+        }
+    }
+
+    #[test]
+    fn an_answer_without_a_length_ends_with_its_connection() {
+        let mut call = Call::default();
+        assert_eq!(call.take(b"HTTP/1.0 503 Busy\r\n\r\nlater"), Ok(None));
+        let reply = call.end().unwrap();
+        assert_eq!((reply.status, &reply.body[..], reply.reusable), (503, &b"later"[..], false));
+        assert!(Call::default().end().is_err());
+    }
+
+    #[test]
+    fn what_is_not_http_or_too_long_is_an_error() {
+        assert!(fed("SSH-2.0-x\r\n\r\n", 4).is_err());
+        assert!(fed("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", 9).is_err());
+        assert!(fed("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", 9).is_err());
+        assert!(fed(&format!("HTTP/1.1 200 OK\r\nX: {}\r\n\r\n", "a".repeat(HEAD + 9)), 999).is_err());
+    }
+}
--- a/src/drill.rs
+++ b/src/drill.rs
@@ -1,7 +1,9 @@
 //! The simulator's wire: JSON lines to events, actions to JSON lines, ids to numbers. No decisions.
 
 use crate::api::*;
+use crate::config::settings;
 use crate::logic::Balancer;
+use crate::pool::name_hash as hash;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde::{Deserialize, Serialize};
@@ -520,85 +522,6 @@
     }
 }
 
-/// FNV-1a with a final mix: the same number for a name at every relay.
-fn hash(name: &str) -> u64 {
-    let fnv =
-        name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
-    (fnv ^ (fnv >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
-/// Reads the settings; keys that are absent, unknown or of another type keep their defaults.
-pub fn settings(setup: &Value) -> Settings {
-    let base = Settings::default();
-    let number = |path: &str| setup.pointer(path).and_then(Value::as_f64).filter(|n| *n >= 0.0);
-    let text = |path: &str| setup.pointer(path).and_then(Value::as_str).unwrap_or("");
-    let yes = |path: &str| setup.pointer(path).and_then(Value::as_bool).unwrap_or(false);
-    let list = |path: &str| setup.pointer(path).and_then(Value::as_array).cloned().unwrap_or_default();
-    let aims = list("/domain/messageAimMs");
-    let quotas = list("/domain/tenantQuotaConnections");
-    let fields = list("/report/fields");
-    let whole = |path: &str, default: u32| number(path).map_or(default, |n| n as u32);
-    Settings {
-        balancers: whole("/balancers", base.balancers).max(1),
-        tick_ms: number("/tickMs").unwrap_or(base.tick_ms),
-        zone: ZoneId(whole("/zone", 0)),
-        classes: list("/profiles").iter().enumerate().map(|(at, raw)| class(raw, aims.get(at))).collect(),
-        tenants: list("/tenants")
-            .iter()
-            .enumerate()
-            .map(|(at, _)| Tenant {
-                quota_connections: quotas.get(at).and_then(Value::as_f64).unwrap_or(0.0),
-            })
-            .collect(),
-        mode: if text("/domain/mode") == "pass" { Mode::Pass } else { Mode::Proxy },
-        listed_weight: match text("/weights") {
-            "nominal" | "rough" => ListedWeight::Size,
-            "live" => ListedWeight::Live,
-            _ => ListedWeight::Silent,
-        },
-        discovery_on_request: text("/discovery") == "on_request",
-        ask_within_ms: number("/invariants/askWithinMs").unwrap_or(base.ask_within_ms),
-        probing: yes("/caps/probing"),
-        probe_price: number("/prices/probe").unwrap_or(base.probe_price),
-        cancel: yes("/caps/cancel"),
-        tells_delay: yes("/domain/tellsDelay"),
-        reports: text("/report/how") != "silent" && fields.iter().any(|field| field == "x0"),
-        most_tries: whole("/caps/mostTries", base.most_tries),
-        max_retry_after_ms: if yes("/caps/retryAfter") {
-            number("/caps/maxRetryAfterMs").unwrap_or(0.0)
-        } else {
-            0.0
-        },
-        connect_timeout_ms: number("/caps/connectTimeoutMs").unwrap_or(base.connect_timeout_ms),
-        start_capacity: number("/invariants/startCapacity").unwrap_or(base.start_capacity),
-        cold_ms: number("/invariants/coldMs").unwrap_or(base.cold_ms),
-        overload_factor: number("/invariants/overloadFactor").unwrap_or(base.overload_factor),
-        fall_ms: number("/invariants/fallMs").unwrap_or(base.fall_ms),
-    }
-}
-
-/// A class that says nothing understood of its effect is taken to be unsafe to repeat.
-fn class(raw: &Value, message_aim: Option<&Value>) -> Class {
-    let base = Class::default();
-    let number = |key: &str| raw.get(key).and_then(Value::as_f64).filter(|n| *n >= 0.0);
-    let text = |key: &str| raw.get(key).and_then(Value::as_str).unwrap_or("");
-    let within = match text("group") {
-        "all" => RepeatGroup::All,
-        "zone" => RepeatGroup::Zone,
-        _ => RepeatGroup::Cell,
-    };
-    Class {
-        aim_ms: number("aimMs").unwrap_or(base.aim_ms),
-        worth: number("importance").unwrap_or(base.worth),
-        effect: match text("effect") {
-            "free" => Effect::Free,
-            "guarded" => Effect::Guarded { within, window_ms: number("windowMs").unwrap_or(0.0) },
-            _ => Effect::SingleShot,
-        },
-        message_aim_ms: message_aim.and_then(Value::as_f64).unwrap_or(base.message_aim_ms),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,81 @@
+//! What a front is: a state machine for one client connection and its server-side flow. It is fed bytes and
+//! commands, and yields bytes and steps; it knows no socket.
+
+use crate::api::Millis;
+use crate::broker::{Command, Said};
+
+/// Most bytes held for one side; while a buffer is fuller than this, nothing more is read for it.
+pub const BUFFER: usize = 16 * 1024;
+
+/// What happened to the connection.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// The client sent bytes.
+    Client(&'a [u8]),
+    /// The client will send no more.
+    ClientEnd,
+    /// The client's connection broke.
+    ClientReset,
+    /// The flow has a connection.
+    ServerOpen,
+    /// The flow could not be connected.
+    ServerRefused,
+    /// The pool member sent bytes.
+    Server(&'a [u8]),
+    /// All bytes for the pool member were written.
+    ServerWritten,
+    /// The pool member will send no more.
+    ServerEnd,
+    /// The flow's connection broke.
+    ServerReset,
+    /// The broker wants something done.
+    Command(Command),
+    /// The deadline that the front named has come.
+    Tick,
+}
+
+/// What is to be done; bytes wait in [`Front::to_client`] and [`Front::to_server`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Tell the broker.
+    Say(Said),
+    /// Open a server-side flow.
+    Dial(String),
+    /// Close the flow now, whatever still waits to be written.
+    DropServer,
+    /// Break the flow now.
+    ResetServer,
+    /// End the sending on the flow once all is written.
+    EndServer,
+    /// End the sending to the client once all is written.
+    EndClient,
+    /// Break the client's connection now; nothing follows.
+    ResetClient,
+    /// Write what waits for the client and close its connection; nothing follows.
+    Finish,
+    /// Write a log line.
+    Log {
+        /// What happened.
+        what: &'static str,
+        /// More about it.
+        detail: String,
+    },
+}
+
+/// One client connection on a front.
+pub trait Front {
+    /// Takes what happened.
+    fn take(&mut self, now: Millis, input: Input<'_>);
+    /// What to do next, in order.
+    fn step(&mut self) -> Option<Step>;
+    /// When [`Input::Tick`] is due.
+    fn due(&self) -> Option<Millis>;
+    /// Bytes for the client.
+    fn to_client(&mut self) -> &mut Vec<u8>;
+    /// Bytes for the pool member.
+    fn to_server(&mut self) -> &mut Vec<u8>;
+    /// Whether the client may be read from now.
+    fn reads_client(&self) -> bool;
+    /// Whether the pool member may be read from now.
+    fn reads_server(&self) -> bool;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,8 +37,15 @@
 //! ```
 
 mod api;
+pub mod broker;
+pub mod config;
+pub mod discovery;
 pub mod drill;
+pub mod front;
 mod logic;
+pub mod net;
+pub mod platform;
+pub mod pool;
 mod state;
 
 pub use api::*;
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,252 @@
+//! The drivers: thin, and the only ones that know sockets, clocks and signals. One thread runs them all.
+
+mod log;
+mod probe;
+mod session;
+mod watch;
+
+pub use log::logger;
+
+use crate::api::{BackendId, Millis};
+use crate::broker::{Broker, Command, LogLine, Order, Said, TransactionId};
+use crate::config::Config;
+use crate::front::Front;
+use crate::platform;
+use slog::{Logger, info, warn};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::LocalSet;
+
+/// Clients have left this long after SIGTERM; the process ends at the latest by the second.
+const LEAVE_MS: Millis = 2_400.0;
+const END_MS: Millis = 3_400.0;
+/// Descriptors kept for anything but sessions; a session takes two.
+const SPARE_SOCKETS: usize = 64;
+/// Without a word from discovery the node goes by the list it was given after this.
+const READY_MS: u64 = 2_000;
+
+/// Unix time in milliseconds that only goes forward.
+#[derive(Clone, Copy)]
+struct Clock {
+    started: Instant,
+    base: Millis,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), base: unix.as_secs_f64() * 1_000.0 }
+    }
+
+    fn now(&self) -> Millis {
+        self.base + self.started.elapsed().as_secs_f64() * 1_000.0
+    }
+
+    fn instant(&self, at: Millis) -> tokio::time::Instant {
+        let after = ((at - self.base) / 1_000.0).clamp(0.0, 1e9);
+        (self.started + Duration::from_secs_f64(after)).into()
+    }
+}
+
+/// What all drivers of a node share.
+struct Node {
+    clock: Clock,
+    log: Logger,
+    broker: RefCell<Broker>,
+    sessions: RefCell<HashMap<TransactionId, mpsc::UnboundedSender<Command>>>,
+    probes: RefCell<HashMap<BackendId, mpsc::Sender<()>>>,
+    watch: Notify,
+    watching: std::cell::Cell<bool>,
+    /// Wakes the timer driver when an earlier time was set.
+    timers: Notify,
+    most_sessions: usize,
+    keepalive: Duration,
+}
+
+impl Node {
+    /// Lets the broker do something, and carries out what it orders.
+    fn with<T>(self: &Rc<Self>, act: impl FnOnce(&mut Broker, Millis) -> T) -> T {
+        let now = self.clock.now();
+        let (done, orders, earlier) = {
+            let mut broker = self.broker.borrow_mut();
+            let before = broker.next_due();
+            let done = act(&mut broker, now);
+            let orders: Vec<Order> = std::iter::from_fn(|| broker.order()).collect();
+            (done, orders, broker.next_due() != before)
+        };
+        if earlier {
+            self.timers.notify_one();
+        }
+        for order in orders {
+            self.carry_out(order);
+        }
+        done
+    }
+
+    fn hear(self: &Rc<Self>, id: TransactionId, said: Said) {
+        self.with(|broker, now| broker.hear(now, id, said));
+    }
+
+    fn carry_out(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Front(id, command) => {
+                if let Some(session) = self.sessions.borrow().get(&id) {
+                    // A session that has just ended needs no command any more.
+                    let _ = session.send(command);
+                }
+            }
+            Order::Probe { member, dial } => probe::probe(self, member, &dial),
+            Order::Watch(on) => {
+                self.watching.set(on);
+                self.watch.notify_one();
+            }
+            Order::Fetch => self.watch.notify_one(),
+            Order::Log(line) => self.write(line),
+        }
+    }
+
+    fn write(&self, line: LogLine) {
+        match line {
+            LogLine::Module(what) => info!(self.log, "module"; "what" => what),
+            LogLine::Fault(what) => slog::error!(self.log, "module fault"; "what" => what),
+            LogLine::Overdue(id) => slog::error!(self.log, "answer overdue"; "transaction" => id.0),
+            LogLine::Withheld(id, member) => {
+                warn!(self.log, "send withheld"; "transaction" => id.0, "member" => member)
+            }
+            LogLine::Member(member, phase) => {
+                info!(self.log, "pool member"; "member" => member, "phase" => ?phase)
+            }
+            LogLine::Flow { id, member, outcome, took_ms, stood } => info!(self.log,
+                "server-side flow ended"; "transaction" => id.0, "member" => member,
+                "outcome" => ?outcome, "stood" => stood, "took_ms" => took_ms.round()),
+        }
+    }
+
+    fn print_counters(&self, when: &str) {
+        let counters = self.broker.borrow().counters();
+        info!(self.log, "counters"; "when" => when, "all" => counters.to_string());
+    }
+}
+
+/// Serves until SIGTERM or SIGINT.
+///
+/// # Errors
+/// If the address can't be listened on, or the runtime can't be had.
+pub fn serve(config: Config, log: Logger) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(LocalSet::new().run_until(run(config, log)))
+}
+
+async fn run(config: Config, log: Logger) -> io::Result<()> {
+    let clock = Clock::new();
+    let broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
+    let node = Rc::new(Node {
+        clock,
+        log,
+        broker: RefCell::new(broker),
+        sessions: RefCell::default(),
+        probes: RefCell::default(),
+        watch: Notify::new(),
+        watching: std::cell::Cell::new(false),
+        timers: Notify::new(),
+        most_sessions: (config.sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1),
+        keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
+    });
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut usr1 = signal(SignalKind::user_defined1())?;
+    let listener = TcpListener::bind(config.listen).await?;
+    info!(node.log, "listening"; "node" => &config.name, "address" => %config.listen,
+        "version" => env!("CARGO_PKG_VERSION"));
+    node.with(|_, _| ()); // what the known list brought about
+    tokio::task::spawn_local(timers(node.clone()));
+    match config.discovery {
+        Some(address) => {
+            drop(tokio::task::spawn_local(watch::watch(node.clone(), address, config.site.zones.clone())))
+        }
+        None => node.with(|broker, _| broker.set_ready()),
+    }
+    let names = Rc::new(platform::Names::new(&config.site));
+    let front = move |now| -> Box<dyn Front> { Box::new(platform::Session::new(now, names.clone())) };
+    tokio::task::spawn_local(accept(node.clone(), listener, front));
+    let late = node.clone();
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(Duration::from_millis(READY_MS)).await;
+        late.with(|broker, _| broker.set_ready());
+    });
+    loop {
+        tokio::select! {
+            _ = usr1.recv() => node.print_counters("asked"),
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+        }
+    }
+    leave(&node).await;
+    node.print_counters("exit");
+    Ok(())
+}
+
+/// Goes on serving while clients are moved, and ends when none is left.
+async fn leave(node: &Rc<Node>) {
+    let began = node.clock.now();
+    info!(node.log, "leaving"; "transactions" => node.broker.borrow().transactions());
+    node.with(|broker, now| broker.leave(now, now + LEAVE_MS));
+    while node.clock.now() < began + END_MS {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let over = node.clock.now() > began + LEAVE_MS;
+        if over && node.broker.borrow().transactions() == 0 && node.sessions.borrow().is_empty() {
+            break;
+        }
+    }
+    let left = node.broker.borrow().transactions();
+    if left > 0 {
+        warn!(node.log, "left behind"; "transactions" => left);
+    }
+}
+
+async fn timers(node: Rc<Node>) {
+    loop {
+        let due = node.broker.borrow().next_due();
+        let sleep = async {
+            match due {
+                Some(at) => tokio::time::sleep_until(node.clock.instant(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = sleep => node.with(|broker, now| broker.tick(now)),
+            () = node.timers.notified() => {}
+        }
+    }
+}
+
+async fn accept(node: Rc<Node>, listener: TcpListener, front: impl Fn(Millis) -> Box<dyn Front>) {
+    loop {
+        let (client, peer): (_, SocketAddr) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(node.log, "accept failed"; "error" => %error);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        // Each session may hold two descriptors: beyond the limit the client is turned away at once.
+        if node.sessions.borrow().len() >= node.most_sessions {
+            warn!(node.log, "too many connections"; "client" => %peer);
+            let _ = client.try_write(b"BUSY 1000\r\n");
+            continue;
+        }
+        let id = node.broker.borrow_mut().next_id();
+        let (send, commands) = mpsc::unbounded_channel();
+        node.sessions.borrow_mut().insert(id, send);
+        let front = front(node.clock.now());
+        tokio::task::spawn_local(session::run(node.clone(), id, peer, client, front, commands));
+    }
+}
--- /dev/null
+++ b/src/net/session.rs
@@ -0,0 +1,279 @@
+//! One client connection: reads and writes for its front.
+
+use super::Node;
+use crate::api::Millis;
+use crate::broker::{Command, TransactionId};
+use crate::front::{Front, Input, Step};
+use slog::info;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// The last bytes for a client are written within this.
+const FLUSH: Duration = Duration::from_millis(1_000);
+
+type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+enum Server {
+    None,
+    Connecting(Connecting),
+    Open { stream: TcpStream, ended: bool, end: bool, told: bool },
+}
+
+enum Happened {
+    Command(Option<Command>),
+    Connected(io::Result<TcpStream>),
+    Client(io::Result<tokio::io::Ready>),
+    Server(io::Result<tokio::io::Ready>),
+    Tick,
+}
+
+pub(super) async fn run(
+    node: Rc<Node>,
+    id: TransactionId,
+    peer: SocketAddr,
+    client: TcpStream,
+    mut front: Box<dyn Front>,
+    commands: UnboundedReceiver<Command>,
+) {
+    let _ = client.set_nodelay(true);
+    let end = drive(&node, id, peer, &client, front.as_mut(), commands).await;
+    node.sessions.borrow_mut().remove(&id);
+    match end {
+        End::Finish => finish(client, std::mem::take(front.to_client())).await,
+        End::Reset => {
+            let _ = client.set_zero_linger();
+        }
+    }
+}
+
+enum End {
+    Finish,
+    Reset,
+}
+
+/// Writes what is left and closes; what the client still sends is read, or the kernel would answer it with a
+/// reset that may overtake the last bytes.
+async fn finish(mut client: TcpStream, bytes: Vec<u8>) {
+    let last = async {
+        client.write_all(&bytes).await?;
+        client.shutdown().await?;
+        let mut sink = [0u8; 512];
+        loop {
+            client.readable().await?;
+            match client.try_read(&mut sink) {
+                Ok(0) => return Ok(()),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Err::<(), io::Error>(error),
+            }
+        }
+    };
+    let _ = tokio::time::timeout(FLUSH, last).await;
+}
+
+async fn drive(
+    node: &Rc<Node>,
+    id: TransactionId,
+    peer: SocketAddr,
+    client: &TcpStream,
+    front: &mut dyn Front,
+    mut commands: UnboundedReceiver<Command>,
+) -> End {
+    let mut server = Server::None;
+    let (mut client_ended, mut end_client, mut client_shut) = (false, false, false);
+    let mut buffer = vec![0u8; 4 * 1024];
+    loop {
+        while let Some(step) = front.step() {
+            match step {
+                Step::Say(said) => node.hear(id, said),
+                Step::Dial(dial) => server = Server::Connecting(Box::pin(dial_to(dial))),
+                Step::DropServer => server = Server::None,
+                Step::ResetServer => {
+                    if let Server::Open { stream, .. } = &server {
+                        let _ = stream.set_zero_linger();
+                    }
+                    server = Server::None;
+                }
+                Step::EndServer => {
+                    if let Server::Open { end, .. } = &mut server {
+                        *end = true;
+                    }
+                }
+                Step::EndClient => end_client = true,
+                Step::ResetClient => return End::Reset,
+                Step::Finish => {
+                    if let Server::Open { stream, .. } = &server
+                        && !front.to_server().is_empty()
+                    {
+                        let _ = stream.try_write(front.to_server());
+                    }
+                    return End::Finish;
+                }
+                Step::Log { what, detail } => {
+                    info!(node.log, "{}", what; "transaction" => id.0, "client" => %peer, "detail" => detail);
+                }
+            }
+        }
+        // Writes are tried at once: most of the time the socket takes them.
+        if let Err(error) = write(client, front.to_client()) {
+            info!(node.log, "client write failed"; "transaction" => id.0, "error" => %error);
+            front.to_client().clear();
+            front.take(node.clock.now(), Input::ClientReset);
+            continue;
+        }
+        if end_client && !client_shut && front.to_client().is_empty() {
+            client_shut = shut(client);
+        }
+        if let Server::Open { stream, end, told, .. } = &mut server {
+            let waited = !front.to_server().is_empty();
+            if write(stream, front.to_server()).is_err() {
+                server = Server::None;
+                front.to_server().clear();
+                front.take(node.clock.now(), Input::ServerReset);
+                continue;
+            }
+            if front.to_server().is_empty() && (waited || !*told) {
+                *told = true;
+                front.take(node.clock.now(), Input::ServerWritten);
+            }
+            if *end && front.to_server().is_empty() {
+                *end = false;
+                shut(stream);
+            }
+        }
+        let client_interest = interest(!client_ended && front.reads_client(), !front.to_client().is_empty());
+        let server_interest = match &server {
+            Server::Open { ended, .. } => {
+                interest(!ended && front.reads_server(), !front.to_server().is_empty())
+            }
+            _ => None,
+        };
+        let due = front.due().map(|at| node.clock.instant(at));
+        let happened = tokio::select! {
+            biased;
+            command = commands.recv() => Happened::Command(command),
+            ready = ready(client, client_interest) => Happened::Client(ready),
+            happened = server_event(&mut server, server_interest) => happened,
+            () = sleep(due) => Happened::Tick,
+        };
+        let now = node.clock.now();
+        match happened {
+            // The node has let go of this session; it never does that before the front is done.
+            Happened::Command(None) => return End::Finish,
+            Happened::Command(Some(command)) => front.take(now, Input::Command(command)),
+            Happened::Connected(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                server = Server::Open { stream, ended: false, end: false, told: false };
+                front.take(now, Input::ServerOpen);
+            }
+            Happened::Connected(Err(_)) => {
+                server = Server::None;
+                front.take(now, Input::ServerRefused);
+            }
+            Happened::Client(Ok(ready)) if !ready.is_readable() && !ready.is_read_closed() => {}
+            Happened::Client(Ok(_)) if client_ended || !front.reads_client() => {}
+            Happened::Client(Ok(_)) => match client.try_read(&mut buffer) {
+                Ok(0) => {
+                    client_ended = true;
+                    front.take(now, Input::ClientEnd);
+                }
+                Ok(read) => front.take(now, Input::Client(&buffer[..read])),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => front.take(now, Input::ClientReset),
+            },
+            Happened::Client(Err(_)) => front.take(now, Input::ClientReset),
+            Happened::Server(ready) => server_ready(front, &mut server, now, &mut buffer, ready),
+            Happened::Tick => front.take(now, Input::Tick),
+        }
+    }
+}
+
+fn server_ready(
+    front: &mut dyn Front,
+    server: &mut Server,
+    now: Millis,
+    buffer: &mut [u8],
+    ready: io::Result<tokio::io::Ready>,
+) {
+    let Server::Open { stream, ended, .. } = server else { return };
+    let read = match ready {
+        Ok(ready) if !ready.is_readable() && !ready.is_read_closed() => return,
+        Ok(_) if *ended || !front.reads_server() => return,
+        Ok(_) => stream.try_read(buffer),
+        Err(error) => Err(error),
+    };
+    match read {
+        Ok(0) => {
+            *ended = true;
+            front.take(now, Input::ServerEnd);
+        }
+        Ok(read) => front.take(now, Input::Server(&buffer[..read])),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+        Err(_) => {
+            *server = Server::None;
+            front.take(now, Input::ServerReset);
+        }
+    }
+}
+
+async fn dial_to(dial: String) -> io::Result<TcpStream> {
+    let address: SocketAddr =
+        dial.parse().map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an address"))?;
+    TcpStream::connect(address).await
+}
+
+/// Writes as much as the socket takes now.
+fn write(stream: &TcpStream, bytes: &mut Vec<u8>) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.try_write(bytes) {
+            Ok(written) => drop(bytes.drain(..written)),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Ends the sending only.
+fn shut(stream: &TcpStream) -> bool {
+    let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+    true
+}
+
+fn interest(read: bool, write: bool) -> Option<Interest> {
+    match (read, write) {
+        (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
+        (true, false) => Some(Interest::READABLE),
+        (false, true) => Some(Interest::WRITABLE),
+        (false, false) => None,
+    }
+}
+
+async fn ready(stream: &TcpStream, interest: Option<Interest>) -> io::Result<tokio::io::Ready> {
+    match interest {
+        Some(interest) => stream.ready(interest).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn server_event(server: &mut Server, interest: Option<Interest>) -> Happened {
+    match server {
+        Server::None => std::future::pending().await,
+        Server::Connecting(connecting) => Happened::Connected(connecting.await),
+        Server::Open { stream, .. } => Happened::Server(ready(stream, interest).await),
+    }
+}
+
+async fn sleep(due: Option<tokio::time::Instant>) {
+    match due {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/src/net/watch.rs
@@ -0,0 +1,86 @@
+//! Watches discovery: one call after the other while the broker wants to be told.
+
+use super::Node;
+use crate::discovery::{Call, Reply, since};
+use crate::pool::decode;
+use slog::warn;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Discovery may keep a call this long; the first of a watch is answered at once.
+const WAIT_MS: u64 = 20_000;
+const FIRST_WAIT_MS: u64 = 1;
+/// An answer that is this late will not come.
+const LATE: Duration = Duration::from_millis(2_500);
+
+pub(super) async fn watch(node: Rc<Node>, address: SocketAddr, zones: Vec<String>) {
+    loop {
+        while !node.watching.get() {
+            node.watch.notified().await;
+        }
+        // The end of a watch is a failure to the module: it decides when to ask again.
+        let error = calls(&node, address, &zones).await;
+        if node.watching.replace(false) {
+            warn!(node.log, "discovery failed"; "error" => error);
+            node.with(|broker, now| broker.discovery_failed(now));
+        }
+    }
+}
+
+async fn calls(node: &Rc<Node>, address: SocketAddr, zones: &[String]) -> String {
+    let authority = address.to_string();
+    let mut stream = None;
+    let mut first = true;
+    while node.watching.get() {
+        let wait = if first { FIRST_WAIT_MS } else { WAIT_MS };
+        let seq = node.broker.borrow().pool_seq();
+        let limit = Duration::from_millis(wait) + LATE;
+        let call = call(&mut stream, address, since(&authority, seq, wait));
+        let reply = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "no answer".into(),
+        };
+        if reply.status != 200 {
+            return format!("status {}", reply.status);
+        }
+        if !reply.reusable {
+            stream = None;
+        }
+        match decode(&reply.body, zones) {
+            // An answer without news says nothing to the module, except that the watch has begun.
+            Ok(list) if !first && !list.whole && list.members.is_empty() => {}
+            Ok(list) => node.with(|broker, now| broker.listed(now, list)),
+            // The last pool is kept.
+            Err(error) => return format!("bad answer: {error}"),
+        }
+        first = false;
+    }
+    String::new()
+}
+
+async fn call(stream: &mut Option<TcpStream>, address: SocketAddr, request: String) -> io::Result<Reply> {
+    if stream.is_none() {
+        let connected = TcpStream::connect(address).await?;
+        let _ = connected.set_nodelay(true);
+        *stream = Some(connected);
+    }
+    let Some(open) = stream else { return Err(io::ErrorKind::NotConnected.into()) };
+    open.write_all(request.as_bytes()).await?;
+    let mut call = Call::default();
+    let mut buffer = vec![0u8; 8 * 1024];
+    loop {
+        let read = open.read(&mut buffer).await?;
+        let bad = |error| io::Error::new(io::ErrorKind::InvalidData, error);
+        if read == 0 {
+            return call.end().map_err(bad);
+        }
+        if let Some(reply) = call.take(&buffer[..read]).map_err(bad)? {
+            return Ok(reply);
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,487 @@
+//! The platform's front: lines of text, one `OPEN` a connection.
+
+mod parse;
+mod probe;
+mod relay;
+
+pub use probe::Probe;
+
+use crate::api::*;
+use crate::broker::{Ask, Command, Said};
+use crate::config::Site;
+use crate::front::{BUFFER, Front, Input, Step};
+use crate::pool::name_hash;
+use parse::{Answer, First};
+use relay::Relay;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// The longest line.
+pub const LINE: usize = 4 * 1024;
+/// A client that says nothing for this long gets its answer.
+const SILENT_MS: Millis = 10_000.0;
+/// `d` runs from when the client sent its line: kept back for the way here and for that of the answer.
+const MARGIN_MS: Millis = 15.0;
+/// A line that is half relayed may delay `MOVE` by this, and a side that has ended the other by the next.
+const MOVE_WAIT_MS: Millis = 300.0;
+const END_WAIT_MS: Millis = 800.0;
+
+/// What the front needs of the settings.
+#[derive(Debug, Default)]
+pub struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    tells_load: bool,
+    answers_report: bool,
+}
+
+impl Names {
+    /// Takes them from the site's settings.
+    pub fn new(site: &Site) -> Self {
+        Names {
+            classes: site.classes.clone(),
+            tenants: site.tenants.clone(),
+            tells_load: site.tells_load,
+            answers_report: site.answers_report,
+        }
+    }
+}
+
+enum State {
+    /// Reading the first line.
+    First,
+    /// A readiness check waits.
+    Ping,
+    /// Asked; no flow is out.
+    Held,
+    /// A flow is being connected, or its first line is being written.
+    Opening { written: bool },
+    /// It stands.
+    Up(Relay),
+    /// Moving: `MOVE` goes out as soon as a line has ended.
+    Moving(Relay),
+    /// The member has ended its sending; the client may still send, for a short while.
+    Ending,
+    /// All is said.
+    Over,
+}
+
+/// One client connection.
+pub struct Session {
+    names: Rc<Names>,
+    state: State,
+    line: String,
+    from_client: Vec<u8>,
+    from_server: Vec<u8>,
+    to_client: Vec<u8>,
+    to_server: Vec<u8>,
+    steps: VecDeque<Step>,
+    due: Option<Millis>,
+    client_ended: bool,
+}
+
+impl Session {
+    /// A connection just accepted.
+    pub fn new(now: Millis, names: Rc<Names>) -> Self {
+        Session {
+            names,
+            state: State::First,
+            line: String::new(),
+            from_client: Vec::new(),
+            from_server: Vec::new(),
+            to_client: Vec::new(),
+            to_server: Vec::new(),
+            steps: VecDeque::new(),
+            due: Some(now + SILENT_MS),
+            client_ended: false,
+        }
+    }
+
+    fn say(&mut self, said: Said) {
+        self.steps.push_back(Step::Say(said));
+    }
+
+    /// The final answer, then the end of the connection.
+    fn finish(&mut self, answer: &str) {
+        self.to_client.extend_from_slice(answer.as_bytes());
+        self.to_client.extend_from_slice(b"\r\n");
+        self.over(Step::Finish);
+    }
+
+    fn over(&mut self, step: Step) {
+        self.state = State::Over;
+        self.due = None;
+        self.steps.push_back(step);
+    }
+
+    fn malformed(&mut self, what: &'static str, detail: String) {
+        self.steps.push_back(Step::Log { what, detail });
+        self.say(Said::Malformed);
+        self.finish(&format!("ERR {what}"));
+    }
+
+    fn first_line(&mut self) {
+        let Some(end) = self.from_client.iter().position(|b| *b == b'\n') else {
+            if self.from_client.len() > LINE {
+                self.malformed("first line too long", format!("{} bytes", self.from_client.len()));
+            }
+            return;
+        };
+        let mut line: Vec<u8> = self.from_client.drain(..=end).collect();
+        line.pop();
+        if line.last() == Some(&b'\r') {
+            line.pop();
+        }
+        if line.len() + 2 > LINE {
+            return self.malformed("first line too long", format!("{} bytes", line.len()));
+        }
+        let shown = || String::from_utf8_lossy(&line).chars().take(120).collect::<String>();
+        let Ok(text) = std::str::from_utf8(&line) else {
+            return self.malformed("malformed first line", shown());
+        };
+        match parse::first(text) {
+            None => self.malformed("malformed first line", shown()),
+            Some(First::Ping) => {
+                self.state = State::Ping;
+                self.due = None;
+                self.say(Said::Ping);
+            }
+            Some(First::Open(open)) => {
+                let place = |names: &[String], name: Option<&str>| {
+                    name.and_then(|name| names.iter().position(|known| known == name))
+                };
+                let Some(class) = place(&self.names.classes, open.field("c")) else {
+                    return self.malformed("unknown class", shown());
+                };
+                let tenant = match open.field("t") {
+                    None if self.names.tenants.is_empty() => 0,
+                    name => match place(&self.names.tenants, name) {
+                        Some(tenant) => tenant,
+                        None => return self.malformed("unknown tenant", shown()),
+                    },
+                };
+                let Some(wait) = open.field("d").and_then(parse::millis) else {
+                    return self.malformed("malformed first line", shown());
+                };
+                let ask = Ask {
+                    class: ClassId(class as u32),
+                    tenant: TenantId(tenant as u32),
+                    group: open.field("g").map(|name| AffinityKey(name_hash(name))),
+                    key: Some(AffinityKey(name_hash(open.key))),
+                    grace_ms: wait - MARGIN_MS,
+                    load_hint: open.field("h").and_then(|hint| hint.parse().ok()),
+                    adopted: open.field("at").map(str::to_owned),
+                    negotiates: false,
+                };
+                self.line = text.to_owned();
+                self.state = State::Held;
+                self.due = None;
+                self.say(Said::Ask(ask));
+            }
+        }
+    }
+
+    fn command(&mut self, now: Millis, command: Command) {
+        match (command, std::mem::replace(&mut self.state, State::Over)) {
+            (_, State::Over) => {}
+            (Command::Ready, State::Ping) => {
+                self.to_client.extend_from_slice(b"PONG\r\n");
+                self.state = State::First;
+                self.due = Some(now + SILENT_MS);
+                self.first_line();
+            }
+            (Command::Open { dial, wait_ms, .. }, State::Held) => {
+                if let Some(First::Open(open)) = parse::first(&self.line) {
+                    self.to_server = open.line(wait_ms.max(1.0) as u64).into_bytes();
+                }
+                self.from_server.clear();
+                self.state = State::Opening { written: false };
+                self.steps.push_back(Step::Dial(dial));
+            }
+            (Command::Abandon, State::Opening { .. }) => self.flow_over(),
+            (Command::Reject(ms), _) => {
+                self.finish(&if ms >= 1.0 { format!("BUSY {}", ms as u64) } else { "BUSY".into() })
+            }
+            (Command::Fail(why), _) => self.finish(&format!("ERR {why:?}")),
+            (Command::Move, State::Up(relay)) => {
+                self.state = State::Moving(relay);
+                self.due = Some(now + MOVE_WAIT_MS);
+                self.try_move(false);
+            }
+            (_, state) => self.state = state,
+        }
+    }
+
+    /// Closes the flow before anything else happens: the next one must not be out beside it.
+    fn flow_over(&mut self) {
+        self.to_server.clear();
+        self.from_server.clear();
+        self.state = State::Held;
+        self.steps.push_back(Step::DropServer);
+    }
+
+    /// `MOVE` stands between two lines. A line that does not end in time is left as it is.
+    fn try_move(&mut self, now_or_never: bool) {
+        let State::Moving(relay) = &self.state else { return };
+        if relay.between_lines() || now_or_never {
+            self.to_client.extend_from_slice(if relay.between_lines() {
+                b"MOVE\r\n"
+            } else {
+                b"\r\nMOVE\r\n"
+            });
+            self.steps.push_back(Step::DropServer);
+            self.over(Step::Finish);
+        }
+    }
+
+    fn ended(&mut self, outcome: Outcome, report: Option<Report>) {
+        self.flow_over();
+        let report = report.filter(|_| self.names.answers_report);
+        self.say(Said::Ended(outcome, report));
+    }
+
+    /// Reads the pool member's answer to the first line.
+    fn server_answer(&mut self, now: Millis) {
+        let Some(end) = self.from_server.iter().position(|b| *b == b'\n') else {
+            if self.from_server.len() > LINE {
+                self.ended(Outcome::Error, None);
+            }
+            return;
+        };
+        let line = String::from_utf8_lossy(&self.from_server[..end]).trim_end_matches('\r').to_owned();
+        let (answer, report) = parse::answer(&line);
+        match answer {
+            Answer::Up => {
+                let bytes = std::mem::take(&mut self.from_server);
+                let mut relay = Relay::default();
+                let mut seen = Vec::new();
+                relay.server_sent(now, &bytes[end + 1..], &mut seen);
+                self.to_client.extend_from_slice(&bytes);
+                let waiting = std::mem::take(&mut self.from_client);
+                relay.client_sent(now, &waiting);
+                self.to_server.extend_from_slice(&waiting);
+                self.state = State::Up(relay);
+                self.say(Said::Up);
+                self.told(seen);
+                if self.client_ended {
+                    self.steps.push_back(Step::EndServer);
+                    self.due = Some(now + END_WAIT_MS);
+                }
+            }
+            Answer::Bye => {
+                self.say(Said::Ended(Outcome::Ok, report.filter(|_| self.names.answers_report)));
+                self.steps.push_back(Step::DropServer);
+                self.finish(&line);
+            }
+            Answer::Move => self.ended(Outcome::Cancelled, None),
+            Answer::Busy => self.ended(Outcome::Full, report),
+            Answer::Err | Answer::Load(_) | Answer::Other => self.ended(Outcome::Error, report),
+        }
+    }
+
+    fn told(&mut self, seen: Vec<relay::Seen>) {
+        for seen in seen {
+            match seen {
+                relay::Seen::Reply(ms) => self.say(Said::Message(ms)),
+                relay::Seen::Load(load) if self.names.tells_load => self.say(Said::Load(load)),
+                relay::Seen::Load(_) => {}
+            }
+        }
+    }
+
+    fn client(&mut self, now: Millis, bytes: &[u8]) {
+        match &mut self.state {
+            State::First => {
+                self.from_client.extend_from_slice(bytes);
+                self.first_line();
+            }
+            State::Ping | State::Held | State::Opening { .. } => self.from_client.extend_from_slice(bytes),
+            State::Up(relay) => {
+                relay.client_sent(now, bytes);
+                self.to_server.extend_from_slice(bytes);
+                self.watch_mute(now);
+            }
+            State::Ending => self.to_server.extend_from_slice(bytes),
+            State::Moving(_) | State::Over => {}
+        }
+    }
+
+    /// A line that a running member leaves unanswered for so long will not be answered: the client is moved
+    /// while there is time.
+    fn watch_mute(&mut self, now: Millis) {
+        if let (State::Up(relay), false) = (&self.state, self.client_ended) {
+            self.due = relay.mute_at().map(|at| at.max(now));
+        }
+    }
+
+    fn server(&mut self, now: Millis, bytes: &[u8]) {
+        match &mut self.state {
+            State::Opening { .. } => {
+                self.from_server.extend_from_slice(bytes);
+                self.server_answer(now);
+            }
+            State::Up(relay) => {
+                let mut seen = Vec::new();
+                relay.server_sent(now, bytes, &mut seen);
+                self.to_client.extend_from_slice(bytes);
+                self.told(seen);
+                self.watch_mute(now);
+            }
+            State::Moving(relay) => {
+                // Only the rest of the line that was begun still goes out.
+                let rest = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |end| end + 1);
+                relay.server_sent(now, &bytes[..rest], &mut Vec::new());
+                self.to_client.extend_from_slice(&bytes[..rest]);
+                self.try_move(false);
+            }
+            _ => {}
+        }
+    }
+
+    fn client_end(&mut self, now: Millis) {
+        self.client_ended = true;
+        match &self.state {
+            State::First if self.from_client.is_empty() => self.over(Step::Finish),
+            State::First => self.malformed("early close", format!("{} bytes", self.from_client.len())),
+            State::Ping | State::Held | State::Opening { .. } => {
+                self.say(Said::Left);
+                self.steps.push_back(Step::DropServer);
+                self.finish("ERR early close");
+            }
+            State::Up(_) => {
+                self.steps.push_back(Step::EndServer);
+                self.due = Some(now + END_WAIT_MS);
+            }
+            State::Moving(_) => self.try_move(true),
+            State::Ending => {
+                self.steps.push_back(Step::EndServer);
+                self.over(Step::Finish);
+            }
+            State::Over => {}
+        }
+    }
+
+    fn server_end(&mut self, now: Millis, broke: bool) {
+        match &self.state {
+            State::Opening { written } => {
+                let outcome = if *written { Outcome::Reset } else { Outcome::Unreachable };
+                self.ended(outcome, None);
+            }
+            State::Up(relay) => {
+                let outcome = match relay.last() {
+                    Some(Answer::Bye) => Outcome::Ok,
+                    Some(Answer::Move) => Outcome::Cancelled,
+                    _ if self.client_ended => Outcome::Cancelled,
+                    _ => Outcome::Reset,
+                };
+                self.say(Said::Ended(outcome, None));
+                // The client's connection ends as the member's did.
+                if broke {
+                    self.over(Step::ResetClient);
+                } else if self.client_ended {
+                    self.over(Step::Finish);
+                } else {
+                    self.steps.push_back(Step::EndClient);
+                    self.state = State::Ending;
+                    self.due = Some(now + END_WAIT_MS);
+                }
+            }
+            State::Ending => self.over(if broke { Step::ResetClient } else { Step::Finish }),
+            State::Moving(_) => self.try_move(true),
+            _ => {}
+        }
+    }
+}
+
+impl Front for Session {
+    fn take(&mut self, now: Millis, input: Input<'_>) {
+        match input {
+            Input::Client(bytes) => self.client(now, bytes),
+            Input::ClientEnd => self.client_end(now),
+            Input::ClientReset => match &self.state {
+                State::Over => {}
+                State::First | State::Ending | State::Moving(_) => self.over(Step::ResetClient),
+                _ => {
+                    self.say(Said::Left);
+                    self.steps.push_back(Step::ResetServer);
+                    self.over(Step::ResetClient);
+                }
+            },
+            Input::ServerOpen => {
+                if matches!(self.state, State::Opening { .. }) {
+                    self.say(Said::Connected);
+                }
+            }
+            Input::ServerRefused => {
+                if matches!(self.state, State::Opening { .. }) {
+                    self.ended(Outcome::Unreachable, None);
+                }
+            }
+            Input::Server(bytes) => self.server(now, bytes),
+            Input::ServerWritten => {
+                if let State::Opening { written } = &mut self.state {
+                    *written = true;
+                }
+            }
+            Input::ServerEnd => self.server_end(now, false),
+            Input::ServerReset => self.server_end(now, true),
+            Input::Command(command) => self.command(now, command),
+            Input::Tick => {
+                if self.due.is_none_or(|due| now < due) {
+                    return;
+                }
+                self.due = None;
+                match &self.state {
+                    State::First => {
+                        self.malformed("silent client", format!("{} bytes", self.from_client.len()))
+                    }
+                    State::Moving(_) => self.try_move(true),
+                    State::Ending => self.over(Step::Finish),
+                    State::Up(_) if self.client_ended => {
+                        self.say(Said::Left);
+                        self.steps.push_back(Step::DropServer);
+                        self.over(Step::Finish);
+                    }
+                    State::Up(relay) if relay.mute_at().is_some_and(|at| now >= at) => {
+                        self.steps.push_back(Step::Log { what: "mute connection", detail: String::new() });
+                        self.say(Said::Ended(Outcome::TimedOut, None));
+                        self.command(now, Command::Move);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) -> Option<Step> {
+        self.steps.pop_front()
+    }
+
+    fn due(&self) -> Option<Millis> {
+        self.due
+    }
+
+    fn to_client(&mut self) -> &mut Vec<u8> {
+        &mut self.to_client
+    }
+
+    fn to_server(&mut self) -> &mut Vec<u8> {
+        &mut self.to_server
+    }
+
+    fn reads_client(&self) -> bool {
+        match self.state {
+            State::First => true,
+            State::Ping | State::Held | State::Opening { .. } => self.from_client.len() < LINE,
+            State::Up(_) | State::Ending => self.to_server.len() < BUFFER,
+            State::Moving(_) | State::Over => true,
+        }
+    }
+
+    fn reads_server(&self) -> bool {
+        self.to_client.len() < BUFFER
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/platform/parse.rs
@@ -0,0 +1,162 @@
+//! The lines of the platform's protocol.
+
+use crate::api::Report;
+use winnow::Parser;
+use winnow::ascii::{digit1, float};
+use winnow::combinator::{alt, eof, opt, preceded, separated, terminated};
+use winnow::error::ContextError;
+use winnow::token::{rest, take_till, take_while};
+
+/// A client's first line.
+#[derive(Debug, PartialEq)]
+pub(super) enum First<'a> {
+    Ping,
+    Open(Open<'a>),
+}
+
+/// `OPEN ID KEY NAME=VALUE,...`
+#[derive(Debug, PartialEq)]
+pub(super) struct Open<'a> {
+    pub(super) id: &'a str,
+    pub(super) key: &'a str,
+    pub(super) fields: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Open<'a> {
+    pub(super) fn field(&self, name: &str) -> Option<&'a str> {
+        self.fields.iter().find(|(known, _)| *known == name).map(|(_, value)| *value)
+    }
+
+    /// The line as it goes to a pool member: unchanged, except for how long the node will wait.
+    pub(super) fn line(&self, wait_ms: u64) -> String {
+        let mut line = format!("OPEN {} {} ", self.id, self.key);
+        for (at, (name, value)) in self.fields.iter().enumerate() {
+            line.push_str(if at == 0 { "" } else { "," });
+            match *name {
+                "d" => line.push_str(&format!("d={wait_ms}")),
+                name => line.push_str(&format!("{name}={value}")),
+            }
+        }
+        line.push_str("\r\n");
+        line
+    }
+}
+
+type Result<T> = winnow::Result<T, ContextError>;
+
+/// Parses a client's first line, its line end taken off.
+pub(super) fn first(line: &str) -> Option<First<'_>> {
+    alt(("PING".map(|_| First::Ping), open.map(First::Open))).parse(line).ok()
+}
+
+fn word<'a>(input: &mut &'a str) -> Result<&'a str> {
+    take_while(1.., |c: char| c.is_ascii_graphic()).parse_next(input)
+}
+
+fn open<'a>(input: &mut &'a str) -> Result<Open<'a>> {
+    let field = (
+        terminated(take_while(1.., |c: char| c.is_ascii_alphanumeric() || c == '_'), '='),
+        take_while(0.., |c: char| c.is_ascii_graphic() && c != ','),
+    );
+    ("OPEN ", word, ' ', word, ' ', separated(1.., field, ','), eof)
+        .map(|(_, id, _, key, _, fields, _)| Open { id, key, fields })
+        .parse_next(input)
+}
+
+/// What a pool member's line says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Answer {
+    Up,
+    Bye,
+    Move,
+    Err,
+    Busy,
+    Load(f64),
+    Other,
+}
+
+/// Reads a pool member's line, with the load report that may close it.
+pub(super) fn answer(line: &str) -> (Answer, Option<Report>) {
+    let load = preceded("LOAD ", float).map(Answer::Load);
+    let word = alt((
+        (alt(("UP".value(Answer::Up), "MOVE".value(Answer::Move))), ends).map(|(answer, ())| answer),
+        (load, eof).map(|(answer, _)| answer),
+        (alt(("BYE".value(Answer::Bye), "ERR".value(Answer::Err), "BUSY".value(Answer::Busy))), ends)
+            .map(|(answer, ())| answer),
+    ));
+    let parsed: Result<(Answer, &str)> = (word, rest).parse_next(&mut { line });
+    match parsed {
+        Ok((answer, more)) => (answer, report(more.trim_start())),
+        Err(_) => (Answer::Other, None),
+    }
+}
+
+/// A word ends here: nothing or a space follows.
+fn ends(input: &mut &str) -> Result<()> {
+    winnow::combinator::peek(alt((eof.void(), ' '.void()))).parse_next(input)
+}
+
+/// A load report: `inflight=7,latency_ms=3.5,x0=0.61`; fields not known are passed over.
+pub(super) fn report(text: &str) -> Option<Report> {
+    let name = terminated(take_till(1.., |c: char| c == '=' || c == ',' || c == ' '), '=');
+    let value = take_till(0.., ',').map(|text: &str| text.trim().parse::<f64>().ok());
+    let fields: std::result::Result<Vec<(&str, Option<f64>)>, _> = {
+        let mut fields = separated(1.., (name, value), ',');
+        Parser::<&str, Vec<(&str, Option<f64>)>, ContextError>::parse(&mut fields, text)
+    };
+    let fields = fields.ok()?;
+    let x0 = fields.into_iter().find(|(name, _)| *name == "x0").and_then(|(_, value)| value);
+    Some(Report { load_over_capacity: x0.filter(|x0| x0.is_finite()) })
+}
+
+/// A number of milliseconds as `d` states it.
+pub(super) fn millis(text: &str) -> Option<f64> {
+    let number: Result<&str> = terminated((digit1, opt(('.', digit1))).take(), eof).parse_next(&mut { text });
+    number.ok()?.parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LINE: &str = "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000,g=5c0f,zz=1.5";
+
+    #[test]
+    fn a_first_line_goes_on_unchanged_except_for_d() {
+        let Some(First::Open(open)) = first(LINE) else { panic!("not understood") };
+        assert_eq!(open.field("c"), Some("chat"));
+        assert_eq!(open.line(1_234), format!("{}\r\n", LINE.replace("2000", "1234")));
+        assert_eq!(first("PING"), Some(First::Ping));
+    }
+
+    #[test]
+    fn malformed_first_lines_are_not_understood() {
+        for line in [
+            "",
+            "OPEN",
+            "OPEN a b",
+            "OPEN a b ",
+            "OPEN a b c",
+            "OPEN a  b c=d",
+            "PINGS",
+            "open a b c=d",
+            "OPEN a b c=d ",
+        ] {
+            assert_eq!(first(line), None, "{line}");
+        }
+    }
+
+    #[test]
+    fn answers_and_reports_are_read() {
+        assert_eq!(answer("UP 77"), (Answer::Up, None));
+        assert_eq!(answer("UPS"), (Answer::Other, None));
+        assert_eq!(answer("LOAD 12.5").0, Answer::Load(12.5));
+        let (word, report) = answer("BYE inflight=7,queue=2,x0=0.61");
+        assert_eq!((word, report.unwrap().load_over_capacity), (Answer::Bye, Some(0.61)));
+        assert_eq!(answer("BUSY"), (Answer::Busy, None));
+        assert_eq!(answer("SYNTAX").0, Answer::Other);
+        assert_eq!(super::report("x0=nan").unwrap().load_over_capacity, None);
+        assert_eq!(millis("250.5"), Some(250.5));
+        assert_eq!(millis("-2"), None);
+    }
+}
--- /dev/null
+++ b/src/pool.rs
@@ -0,0 +1,179 @@
+//! The pool as values: what discovery, the configuration or an inventory say of the pool members.
+
+use crate::api::{BackendId, BackendInfo, Millis, Phase, ZoneId};
+use serde::Deserialize;
+use std::fmt;
+
+/// One pool member as listed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its name, the same at every node and after a restart.
+    pub name: String,
+    /// Where it is dialled: an IP address and a port.
+    pub dial: String,
+    /// Its zone, as a place in the configured zones.
+    pub zone: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub phase: Phase,
+    /// Listed weight.
+    pub weight: f64,
+    /// When it last started, in Unix milliseconds; `None` if long past.
+    pub born: Option<Millis>,
+}
+
+impl Member {
+    /// The same in the decision module's terms, under the number that the pool gave it.
+    pub fn info(&self, id: BackendId) -> BackendInfo {
+        BackendInfo {
+            id,
+            phase: self.phase,
+            zone: ZoneId(self.zone),
+            cell: self.cell,
+            weight: self.weight,
+            started_at: self.born,
+        }
+    }
+}
+
+/// A list of pool members, or the changes to one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PoolList {
+    /// The list's version.
+    pub seq: u64,
+    /// All members; else only those that changed.
+    pub whole: bool,
+    /// The members.
+    pub members: Vec<Member>,
+}
+
+/// What is wrong with a list.
+#[derive(Debug, PartialEq)]
+pub struct ListError(pub String);
+
+impl fmt::Display for ListError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ListError {}
+
+#[derive(Deserialize)]
+pub(crate) struct RawList {
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    hosts: Vec<RawMember>,
+}
+
+#[derive(Deserialize)]
+struct RawMember {
+    host: String,
+    dial: String,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    block: u32,
+    health: Health,
+    share: Option<f64>,
+    #[serde(default)]
+    born_ms: f64,
+}
+
+#[derive(Deserialize)]
+enum Health {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// Decodes a list in discovery's form.
+///
+/// # Errors
+/// If it is not JSON of that form, or if a member's address or zone is not one.
+pub fn decode(json: &[u8], zones: &[String]) -> Result<PoolList, ListError> {
+    let raw: RawList = serde_json::from_slice(json).map_err(|error| ListError(error.to_string()))?;
+    raw.list(zones)
+}
+
+impl RawList {
+    pub(crate) fn list(self, zones: &[String]) -> Result<PoolList, ListError> {
+        let members: Result<Vec<_>, _> = self.hosts.into_iter().map(|host| host.member(zones)).collect();
+        Ok(PoolList { seq: self.seq, whole: self.whole, members: members? })
+    }
+}
+
+impl RawMember {
+    fn member(self, zones: &[String]) -> Result<Member, ListError> {
+        let phase = match self.health {
+            Health::Ready => Phase::Serving,
+            Health::Terminating => Phase::Draining,
+            Health::Gone => Phase::Gone,
+        };
+        // A member that is gone needs no address any more.
+        if phase != Phase::Gone {
+            check_dial(&self.dial).map_err(|error| ListError(format!("host {}: {error}", self.host)))?;
+        }
+        Ok(Member {
+            zone: zone_number(&self.site, zones),
+            name: self.host,
+            dial: self.dial,
+            cell: self.block,
+            phase,
+            weight: self.share.unwrap_or(1.0),
+            born: Some(self.born_ms).filter(|born| *born > 0.0),
+        })
+    }
+}
+
+/// The zone's place in the configured zones; one that is not configured is a zone apart, never our own.
+pub fn zone_number(name: &str, zones: &[String]) -> u32 {
+    zones.iter().position(|zone| zone == name).unwrap_or(zones.len()) as u32
+}
+
+/// Checks that an address can be dialled without DNS.
+///
+/// # Errors
+/// If it is not an IP address with a port.
+pub fn check_dial(dial: &str) -> Result<(), ListError> {
+    match dial.parse::<std::net::SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(ListError(format!("'{dial}' is not an IP address with a port"))),
+    }
+}
+
+/// FNV-1a with a final mix: the same number for a name at every node.
+pub fn name_hash(name: &str) -> u64 {
+    let fnv =
+        name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    (fnv ^ (fnv >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HOST: &str = r#"{"host":"s-1","dial":"127.0.0.9:80","site":"b","class":"m2","block":3,
+        "health":"Terminating","share":1.5,"born_ms":17}"#;
+
+    #[test]
+    fn a_list_is_decoded_into_the_values_used() {
+        let zones = ["a".to_owned(), "b".to_owned()];
+        let list =
+            decode(format!(r#"{{"seq":4,"whole":true,"hosts":[{HOST}]}}"#).as_bytes(), &zones).unwrap();
+        let member = &list.members[0];
+        assert_eq!((list.seq, list.whole, member.zone, member.cell), (4, true, 1, 3));
+        assert_eq!((member.phase, member.weight, member.born), (Phase::Draining, 1.5, Some(17.0)));
+    }
+
+    #[test]
+    fn a_bad_address_or_form_is_an_error_that_names_it() {
+        let bad = HOST.replace("127.0.0.9:80", "db.example:80");
+        let error = decode(format!(r#"{{"seq":4,"hosts":[{bad}]}}"#).as_bytes(), &[]).unwrap_err();
+        assert!(error.0.contains("s-1") && error.0.contains("db.example:80"), "{error}");
+        assert!(decode(b"{\"seq\":4}", &[]).unwrap_err().0.contains("hosts"));
+        assert!(decode(b"<html>", &[]).is_err());
+    }
+}
--- a/tests/drill.rs
+++ b/tests/drill.rs
@@ -1,5 +1,6 @@
 //! The wire: every event is understood, every action is written, ids are freed, and errors are plain.
-use hopmoor::drill::{Host, settings};
+use hopmoor::config::settings;
+use hopmoor::drill::Host;
 use hopmoor::*;
 use serde_json::{Value, json};
 
