--- a/src/api.rs
+++ b/src/api.rs
@@ -88,6 +88,20 @@
 pub struct Tenant {
     /// Open connections, over all relays, inside its share; 0 if not stated.
     pub quota_connections: f64,
+    /// What was agreed with it; without one it is guaranteed an equal part, has the priority of its highest
+    /// class worth, and no maximum.
+    pub contract: Option<Contract>,
+}
+
+/// What a tenant's contract states, in load: a connection's hint, else one for each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Contract {
+    /// Load that it gets whenever it asks for it.
+    pub guarantee: f64,
+    /// Load that it never goes beyond; infinite if none was agreed.
+    pub maximum: f64,
+    /// The higher ones are met first from spare capacity.
+    pub priority: f64,
 }
 
 /// How connections pass the relay.
@@ -199,6 +213,11 @@
         self.classes.get(class.0 as usize).copied().unwrap_or_default()
     }
 
+    /// The contract of the tenant with this number.
+    pub fn contract(&self, tenant: TenantId) -> Option<Contract> {
+        self.tenants.get(tenant.0 as usize).and_then(|tenant| tenant.contract)
+    }
+
     /// One gateway's part of the connections that all tenants may have open inside their shares; 0 if unstated.
     pub fn quota_part(&self) -> f64 {
         let all: f64 = self.tenants.iter().map(|tenant| tenant.quota_connections).sum();
--- a/src/config.rs
+++ b/src/config.rs
@@ -152,6 +152,7 @@
             .enumerate()
             .map(|(at, _)| Tenant {
                 quota_connections: quotas.get(at).and_then(Value::as_f64).unwrap_or(0.0),
+                contract: None,
             })
             .collect(),
         mode: if text("/domain/mode") == "pass" { Mode::Pass } else { Mode::Proxy },
--- /dev/null
+++ b/src/inventory.rs
@@ -0,0 +1,313 @@
+//! An operator's inventory, as configuration tools keep it: members, services, teams and contracts, in YAML or
+//! in CSV, decoded into the same values as discovery's list and the settings.
+//!
+//! In CSV the first column, `kind`, says what a row is; the other columns are named as the YAML keys, and lists
+//! are separated by spaces.
+
+use crate::api::{Millis, Phase};
+use crate::pool::{ListError, Member, PoolList, check_dial, zone_number};
+use serde::Deserialize;
+use std::path::Path;
+
+/// What an inventory says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Inventory {
+    /// The pool.
+    pub pool: PoolList,
+    /// Zone names, in the order in which members name them.
+    pub zones: Vec<String>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Teams.
+    pub teams: Vec<Team>,
+}
+
+/// A service that clients ask for by name.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its domain.
+    pub name: String,
+    /// How long a client may wait for its answer.
+    pub deadline_ms: Millis,
+    /// What a second of a connection is worth.
+    #[serde(default = "one")]
+    pub worth: f64,
+}
+
+/// A team and its contract.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Domains that its clients come from.
+    pub domains: Vec<String>,
+    /// What was agreed with it.
+    pub contract: Option<Contract>,
+}
+
+pub use crate::api::Contract;
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    #[serde(default)]
+    members: Vec<RawMember>,
+    #[serde(default)]
+    services: Vec<Service>,
+    #[serde(default)]
+    teams: Vec<RawTeam>,
+    #[serde(default)]
+    contracts: Vec<RawContract>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawMember {
+    name: String,
+    dial: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    state: MemberState,
+}
+
+#[derive(Clone, Copy, Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+enum MemberState {
+    #[default]
+    Serving,
+    Draining,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawTeam {
+    name: String,
+    #[serde(default)]
+    domains: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawContract {
+    team: String,
+    #[serde(default)]
+    guarantee: f64,
+    maximum: Option<f64>,
+    #[serde(default)]
+    priority: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Row {
+    kind: String,
+    name: Option<String>,
+    dial: Option<String>,
+    zone: Option<String>,
+    weight: Option<f64>,
+    state: Option<MemberState>,
+    deadline_ms: Option<Millis>,
+    worth: Option<f64>,
+    domains: Option<String>,
+    team: Option<String>,
+    guarantee: Option<f64>,
+    maximum: Option<f64>,
+    priority: Option<f64>,
+}
+
+/// Reads an inventory; its form goes by the file's ending.
+///
+/// # Errors
+/// One message that names the file and the line or field at fault.
+pub fn read(path: &Path) -> Result<Inventory, ListError> {
+    let about = |error: &dyn std::fmt::Display| ListError(format!("{}: {error}", path.display()));
+    let text = std::fs::read_to_string(path).map_err(|error| about(&error))?;
+    let decoded = match path.extension().and_then(|ending| ending.to_str()) {
+        Some("csv") => csv(&text),
+        Some("yaml" | "yml") => yaml(&text),
+        _ => Err(ListError("neither .csv nor .yaml".into())),
+    };
+    decoded.map_err(|error| about(&error))
+}
+
+/// Decodes YAML.
+///
+/// # Errors
+/// One message that names the line or field at fault.
+pub fn yaml(text: &str) -> Result<Inventory, ListError> {
+    let raw: Raw = serde_yaml_ng::from_str(text).map_err(|error| ListError(error.to_string()))?;
+    raw.inventory()
+}
+
+/// Decodes CSV.
+///
+/// # Errors
+/// One message that names the line or field at fault.
+pub fn csv(text: &str) -> Result<Inventory, ListError> {
+    let mut raw = Raw::default();
+    let mut reader =
+        csv::ReaderBuilder::new().trim(csv::Trim::All).comment(Some(b'#')).from_reader(text.as_bytes());
+    let headers = reader.headers().map_err(|error| ListError(error.to_string()))?.clone();
+    for record in reader.records() {
+        let record = record.map_err(|error| ListError(error.to_string()))?;
+        let line = record.position().map_or(0, csv::Position::line);
+        let about = |what: String| ListError(format!("line {line}: {what}"));
+        let row: Row = record.deserialize(Some(&headers)).map_err(|error| about(error.to_string()))?;
+        let need =
+            |value: Option<String>, name: &str| value.ok_or_else(|| about(format!("{name} is missing")));
+        match row.kind.as_str() {
+            "member" => raw.members.push(RawMember {
+                name: need(row.name, "name")?,
+                dial: need(row.dial, "dial")?,
+                zone: row.zone.unwrap_or_default(),
+                weight: row.weight.unwrap_or(1.0),
+                state: row.state.unwrap_or_default(),
+            }),
+            "service" => raw.services.push(Service {
+                name: need(row.name, "name")?,
+                deadline_ms: row.deadline_ms.ok_or_else(|| about("deadline_ms is missing".into()))?,
+                worth: row.worth.unwrap_or(1.0),
+            }),
+            "team" => raw.teams.push(RawTeam {
+                name: need(row.name, "name")?,
+                domains: row.domains.unwrap_or_default().split_whitespace().map(str::to_owned).collect(),
+            }),
+            "contract" => raw.contracts.push(RawContract {
+                team: need(row.team, "team")?,
+                guarantee: row.guarantee.unwrap_or(0.0),
+                maximum: row.maximum,
+                priority: row.priority.unwrap_or(0.0),
+            }),
+            other => return Err(about(format!("kind '{other}' is none of member, service, team, contract"))),
+        }
+    }
+    raw.inventory()
+}
+
+impl Raw {
+    fn inventory(self) -> Result<Inventory, ListError> {
+        let wrong = |what: String| Err(ListError(what));
+        let mut inventory = Inventory { services: self.services, ..Inventory::default() };
+        for member in self.members {
+            check_dial(&member.dial)
+                .map_err(|error| ListError(format!("members: {}: dial: {error}", member.name)))?;
+            if inventory.pool.members.iter().any(|known| known.name == member.name) {
+                return wrong(format!("members: {} is there twice", member.name));
+            }
+            if !(member.weight.is_finite() && member.weight > 0.0) {
+                return wrong(format!("members: {}: weight is not above zero", member.name));
+            }
+            if !inventory.zones.contains(&member.zone) {
+                inventory.zones.push(member.zone.clone());
+            }
+            inventory.pool.members.push(Member {
+                zone: zone_number(&member.zone, &inventory.zones),
+                name: member.name,
+                dial: member.dial,
+                cell: 0,
+                phase: match member.state {
+                    MemberState::Serving => Phase::Serving,
+                    MemberState::Draining => Phase::Draining,
+                },
+                weight: member.weight,
+                born: None,
+            });
+        }
+        inventory.pool.whole = true;
+        for service in &inventory.services {
+            if !(service.deadline_ms.is_finite() && service.deadline_ms >= 100.0) {
+                return wrong(format!("services: {}: deadline_ms is under 100", service.name));
+            }
+        }
+        if inventory.services.is_empty() {
+            return wrong("services: none".into());
+        }
+        for team in self.teams {
+            if inventory.teams.iter().any(|known| known.name == team.name) {
+                return wrong(format!("teams: {} is there twice", team.name));
+            }
+            inventory.teams.push(Team { name: team.name, domains: team.domains, contract: None });
+        }
+        for raw in self.contracts {
+            let Some(team) = inventory.teams.iter_mut().find(|team| team.name == raw.team) else {
+                return wrong(format!("contracts: no team {}", raw.team));
+            };
+            let contract = Contract {
+                guarantee: raw.guarantee,
+                maximum: raw.maximum.unwrap_or(f64::INFINITY),
+                priority: raw.priority,
+            };
+            if !(contract.guarantee >= 0.0 && contract.maximum >= contract.guarantee) {
+                return wrong(format!("contracts: {}: guarantee is under 0 or over maximum", raw.team));
+            }
+            if team.contract.replace(contract).is_some() {
+                return wrong(format!("contracts: {} has two", raw.team));
+            }
+        }
+        Ok(inventory)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const YAML: &str = "
+members:
+  - {name: chat-a, dial: '127.0.0.1:5301', zone: east, weight: 2}
+  - {name: chat-b, dial: '127.0.0.1:5302', zone: west, state: draining}
+services:
+  - {name: chat.example, deadline_ms: 4000}
+teams:
+  - {name: kiln, domains: [kiln.example, fire.example]}
+  - {name: glaze}
+contracts:
+  - {team: kiln, guarantee: 20, maximum: 60, priority: 2}
+";
+    const CSV: &str = "\
+kind,name,dial,zone,weight,state,deadline_ms,domains,team,guarantee,maximum,priority
+member,chat-a,127.0.0.1:5301,east,2,,,,,,,
+member,chat-b,127.0.0.1:5302,west,,draining,,,,,,
+service,chat.example,,,,,4000,,,,,
+team,kiln,,,,,,kiln.example fire.example,,,,
+team,glaze,,,,,,,,,,
+contract,,,,,,,,kiln,20,60,2
+";
+
+    #[test]
+    fn both_forms_say_the_same() {
+        let inventory = yaml(YAML).unwrap();
+        assert_eq!(inventory, csv(CSV).unwrap());
+        assert_eq!(inventory.zones, ["east", "west"]);
+        let contract = Contract { guarantee: 20.0, maximum: 60.0, priority: 2.0 };
+        assert_eq!(inventory.teams[0].contract, Some(contract));
+        assert_eq!((inventory.teams[1].contract, inventory.pool.members.len()), (None, 2));
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        for (from, to, named) in [
+            ("127.0.0.1:5302", "chat-b.example:5302", "chat-b"),
+            ("chat-b", "chat-a", "twice"),
+            ("deadline_ms: 4000", "deadline_ms: soon", "deadline_ms"),
+            ("team: kiln, g", "team: kilm, g", "kilm"),
+            ("maximum: 60", "maximum: 6", "maximum"),
+            ("weight: 2", "wait: 2", "wait"),
+        ] {
+            let error = yaml(&YAML.replace(from, to)).unwrap_err();
+            assert!(error.0.contains(named), "{error}");
+        }
+        let error = csv(&CSV.replace("team,glaze", "teem,glaze")).unwrap_err();
+        assert!(error.0.contains("line 6") && error.0.contains("teem"), "{error}");
+        let error = csv(&CSV.replace("4000", "x")).unwrap_err();
+        assert!(error.0.contains("line 4"), "{error}");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,11 +42,14 @@
 pub mod discovery;
 pub mod drill;
 pub mod front;
+pub mod inventory;
 mod logic;
 pub mod net;
+pub mod operator;
 pub mod platform;
 pub mod pool;
 mod state;
+pub mod xmpp;
 
 pub use api::*;
 pub use logic::Balancer;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -125,27 +125,38 @@
 
     // ---- Budget ----
 
-    /// Guarantees first, spare capacity by priority up to the forecasts, what is left in equal parts.
+    /// Guarantees first, spare capacity by priority up to the forecasts, what is left in equal parts; a
+    /// contract states a tenant's guarantee and priority, and a maximum that holds at every step.
     fn budget(&mut self, now: Millis) {
         let mut spare = self.per_weight * self.usable_weight(now);
         let mut recent: Vec<&mut Share> =
             self.tenants.values_mut().filter(|share| now - share.seen <= RECENT_MS).collect();
         let (count, part) = (recent.len() as f64, spare / recent.len() as f64);
         for share in &mut recent {
-            share.budget = share.forecast.min(part);
+            let guarantee = share.contract.map_or(part, |contract| contract.guarantee);
+            share.budget = share.forecast.min(guarantee).min(share.maximum());
             spare -= share.budget;
         }
         recent.sort_by(|a, b| b.priority.total_cmp(&a.priority));
         for equals in recent.chunk_by_mut(|a, b| a.priority == b.priority) {
-            let wanted: f64 = equals.iter().map(|share| share.forecast - share.budget).sum();
+            let wanted: f64 = equals.iter().map(|share| share.wanted()).sum();
             let part = if wanted > spare { (spare / wanted).max(0.0) } else { 1.0 };
             for share in equals {
-                share.budget += (share.forecast - share.budget) * part;
+                share.budget += share.wanted() * part;
             }
             spare -= wanted * part;
         }
+        // Those near their maximum first: what they can't take is for the others.
+        recent.sort_by(|a, b| (a.maximum() - a.budget).total_cmp(&(b.maximum() - b.budget)));
+        let (mut spare, mut count) = (spare.max(0.0), count);
         for share in recent {
-            share.budget += spare.max(0.0) / count;
+            let room = share.maximum() - share.budget;
+            if room < spare / count {
+                (spare, count) = (spare - room, count - 1.0);
+                share.budget = share.maximum();
+            } else {
+                share.budget += spare / count;
+            }
             let over = (share.load - share.budget) / share.budget.max(1.0) * INTERVAL_MS / 1_000.0;
             share.excess = (share.excess + over).clamp(0.0, EXCESS_MOST);
         }
@@ -219,7 +230,8 @@
     fn enter(&mut self, now: Millis, request: Request, deadline: Millis) {
         let class = self.settings.class(request.class);
         let share = self.tenants.entry(request.tenant).or_default();
-        (share.seen, share.priority) = (now, share.priority.max(class.worth));
+        (share.seen, share.contract) = (now, self.settings.contract(request.tenant));
+        share.priority = share.contract.map_or(share.priority.max(class.worth), |contract| contract.priority);
         let least = if share.least_load > 0.0 { share.least_load } else { f64::INFINITY };
         share.least_load = least.min(request.load());
         // Batches come once a tick, so the answer is due some ticks early.
@@ -521,6 +533,17 @@
     }
 }
 
+impl Share {
+    fn maximum(&self) -> f64 {
+        self.contract.map_or(f64::INFINITY, |contract| contract.maximum)
+    }
+
+    /// What the forecast still wants on top of the budget.
+    fn wanted(&self) -> f64 {
+        self.forecast.min(self.maximum()) - self.budget
+    }
+}
+
 impl Server {
     /// Load over capacity as far as reports and notes tell, and how far that can still be believed.
     fn told(&self, now: Millis) -> Option<(f64, f64)> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The hopmoor node: command line.
 
-use hopmoor::{config, net};
+use hopmoor::net::{self, Speaks};
+use hopmoor::{config, operator};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -17,6 +18,7 @@
 
 options:
   --config FILE   read this file instead of the one that NODE_CONFIG names
+  --xmpp FILE     be an XMPP node, set up by this operator's file
 ";
 
 fn main() -> ExitCode {
@@ -32,24 +34,38 @@
         Ok(file) => file,
         Err(error) => return usage(&error.to_string()),
     };
+    let xmpp: Option<PathBuf> = match args.opt_value_from_str("--xmpp") {
+        Ok(file) => file,
+        Err(error) => return usage(&error.to_string()),
+    };
+    if file.is_some() && xmpp.is_some() {
+        return usage("--config and --xmpp exclude each other");
+    }
     if let Some(more) = args.finish().first() {
         return usage(&format!("unknown argument '{}'", more.to_string_lossy()));
     }
     match command.as_str() {
         "version" => println!("hopmoor {}", env!("CARGO_PKG_VERSION")),
         "help" => print!("{USAGE}"),
-        "check" | "serve" => return with_config(&command, file),
+        "check" | "serve" => return with_config(&command, file, xmpp),
         other => return usage(&format!("unknown command '{other}'")),
     }
     ExitCode::SUCCESS
 }
 
-fn with_config(command: &str, file: Option<PathBuf>) -> ExitCode {
-    let Some(file) = file.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from)) else {
-        return usage("neither --config nor NODE_CONFIG names a file");
+fn with_config(command: &str, file: Option<PathBuf>, xmpp: Option<PathBuf>) -> ExitCode {
+    let named = xmpp.clone().or(file).or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    let Some(file) = named else {
+        return usage("neither --config, --xmpp nor NODE_CONFIG names a file");
+    };
+    let read = match xmpp {
+        None => config::read(&file).map(|config| (config, Speaks::Platform)),
+        Some(_) => {
+            operator::read(&file).map(|found| (found.config, Speaks::Xmpp(found.realm, found.inventory)))
+        }
     };
-    let config = match config::read(&file) {
-        Ok(config) => config,
+    let (config, speaks) = match read {
+        Ok(read) => read,
         Err(error) => {
             eprintln!("hopmoor: {error}");
             return ExitCode::FAILURE;
@@ -60,7 +76,7 @@
         return ExitCode::SUCCESS;
     }
     let (log, _written_at_the_end) = net::logger();
-    match net::serve(config, log.clone()) {
+    match net::serve(config, speaks, log.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             slog::error!(log, "node ended"; "error" => %error);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,12 +11,14 @@
 use crate::broker::{Broker, Command, LogLine, Order, Said, TransactionId};
 use crate::config::Config;
 use crate::front::Front;
-use crate::platform;
+use crate::xmpp::Realm;
+use crate::{operator, platform, xmpp};
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -150,16 +152,31 @@
     }
 }
 
+/// Which front a node has.
+pub enum Speaks {
+    /// The platform's protocol.
+    Platform,
+    /// XMPP, with an inventory that SIGHUP reads anew.
+    Xmpp(Realm, PathBuf),
+}
+
 /// Serves until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// If the address can't be listened on, or the runtime can't be had.
-pub fn serve(config: Config, log: Logger) -> io::Result<()> {
+pub fn serve(config: Config, speaks: Speaks, log: Logger) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(run(config, log)))
+    runtime.block_on(LocalSet::new().run_until(async {
+        let listener = TcpListener::bind(config.listen).await?;
+        run(config, speaks, listener, log).await
+    }))
 }
 
-async fn run(config: Config, log: Logger) -> io::Result<()> {
+/// Serves on a listener that is there already.
+///
+/// # Errors
+/// If signals can't be had.
+pub async fn run(config: Config, speaks: Speaks, listener: TcpListener, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
     let broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
     let node = Rc::new(Node {
@@ -177,8 +194,8 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut usr1 = signal(SignalKind::user_defined1())?;
-    let listener = TcpListener::bind(config.listen).await?;
-    info!(node.log, "listening"; "node" => &config.name, "address" => %config.listen,
+    let mut hangup = signal(SignalKind::hangup())?;
+    info!(node.log, "listening"; "node" => &config.name, "address" => ?listener.local_addr(),
         "version" => env!("CARGO_PKG_VERSION"));
     node.with(|_, _| ()); // what the known list brought about
     tokio::task::spawn_local(timers(node.clone()));
@@ -188,8 +205,18 @@
         }
         None => node.with(|broker, _| broker.set_ready()),
     }
-    let names = Rc::new(platform::Names::new(&config.site));
-    let front = move |now| -> Box<dyn Front> { Box::new(platform::Session::new(now, names.clone())) };
+    let mut inventory = None;
+    let front: Box<dyn Fn(Millis) -> Box<dyn Front>> = match speaks {
+        Speaks::Platform => {
+            let names = Rc::new(platform::Names::new(&config.site));
+            Box::new(move |now| Box::new(platform::Session::new(now, names.clone())))
+        }
+        Speaks::Xmpp(realm, file) => {
+            inventory = Some(file);
+            let realm = Rc::new(realm);
+            Box::new(move |now| Box::new(xmpp::Session::new(now, realm.clone())))
+        }
+    };
     tokio::task::spawn_local(accept(node.clone(), listener, front));
     let late = node.clone();
     tokio::task::spawn_local(async move {
@@ -199,6 +226,7 @@
     loop {
         tokio::select! {
             _ = usr1.recv() => node.print_counters("asked"),
+            _ = hangup.recv() => reread(&node, inventory.as_deref()),
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -208,6 +236,15 @@
     Ok(())
 }
 
+/// Reads the inventory anew; a bad one changes nothing.
+fn reread(node: &Rc<Node>, inventory: Option<&Path>) {
+    let Some(file) = inventory else { return };
+    match operator::pool(file) {
+        Ok(list) => node.with(|broker, now| broker.listed(now, list)),
+        Err(error) => warn!(node.log, "inventory not taken"; "error" => %error),
+    }
+}
+
 /// Goes on serving while clients are moved, and ends when none is left.
 async fn leave(node: &Rc<Node>) {
     let began = node.clock.now();
@@ -242,7 +279,7 @@
     }
 }
 
-async fn accept(node: Rc<Node>, listener: TcpListener, front: impl Fn(Millis) -> Box<dyn Front>) {
+async fn accept(node: Rc<Node>, listener: TcpListener, front: Box<dyn Fn(Millis) -> Box<dyn Front>>) {
     loop {
         let (client, peer): (_, SocketAddr) = match listener.accept().await {
             Ok(accepted) => accepted,
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
     pub refused: f64,
     pub least_load: f64,
     pub priority: f64,
+    pub contract: Option<Contract>,
     pub seen: Millis,
     pub queue: VecDeque<RequestId>,
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -4,7 +4,7 @@
 use hopmoor::*;
 
 fn quota(connections: &[f64]) -> Settings {
-    let tenants = connections.iter().map(|c| Tenant { quota_connections: *c }).collect();
+    let tenants = connections.iter().map(|c| Tenant { quota_connections: *c, contract: None }).collect();
     Settings { tenants, tick_ms: 5.0, max_retry_after_ms: 1_000.0, ..Settings::default() }
 }
 
@@ -158,3 +158,27 @@
     relay.give(Event::Backends { scope: ListScope::Patch, entries: vec![backend(2)] });
     assert!(relay.out.contains_key(&RequestId(10)));
 }
+
+/// A contract's maximum caps the budget; what it leaves over goes to the others. Its guarantee stands against a
+/// tenant of higher priority.
+#[test]
+fn contracts_state_guarantee_maximum_and_priority() {
+    let contract = |guarantee, maximum, priority| Some(Contract { guarantee, maximum, priority });
+    let mut settings = quota(&[10.0, 10.0]); // capacity 40
+    settings.tenants[0].contract = contract(4.0, 6.0, 1.0);
+    settings.tenants[1].contract = contract(8.0, f64::INFINITY, 2.0);
+    let mut relay = Relay::with(settings, [backend(1)]);
+    for id in 0..60 {
+        for tenant in [0u64, 1] {
+            let id = 1_000 * tenant + id;
+            if sent_to(&relay.ask(of_tenant(id, tenant as u32))).is_some() {
+                relay.stand(id);
+            }
+        }
+    }
+    relay.run(600.0);
+    let sent = |tenant: u64| relay.tries.keys().filter(|id| id.0 / 1_000 == tenant).count();
+    assert_eq!(sent(0), 6, "its maximum");
+    // Capacity has crept up a little by the second interval.
+    assert!((34..=38).contains(&sent(1)), "the rest of 40: {}", sent(1));
+}
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -104,7 +104,7 @@
 /// Reports make capacity: at half load a gateway may open as much again, and when loads fall, more.
 #[test]
 fn capacity_is_claimed_from_reports() {
-    let tenants = vec![Tenant { quota_connections: 4.0 }];
+    let tenants = vec![Tenant { quota_connections: 4.0, contract: None }];
     let mut relay = Relay::with(Settings { reports: true, tenants, ..settings() }, [backend(1), backend(2)]);
     for id in 0..8 {
         relay.open(request(id));
