Move clients before their member leaves; model of connection states; docs

Seen: a node moved its clients on SIGTERM only; those of a member that drained were left to the member's own word. A probe task that ended after a failure could lose a probe asked for at that moment, and that member was never probed again. Cause: no rule in the core for standing connections of members that drain; the probe's channel was closed with a probe in it (read from the code, not seen). Done: the broker moves them evenly over 5 s (1 s for members that are gone); probes keep one task and follow a member's address. Half-negotiated XMPP flows that are given up get their stream's end.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -30,8 +30,11 @@
 const MOST_FLOWS: u32 = 6;
 /// How often members that hold connections are asked how long a message takes there.
 const MEASURE_MS: Millis = 1_000.0;
-/// Steps in which clients are moved before the node ends.
+/// Steps in which clients are moved before the node ends, or before their member does.
 const LEAVE_STEP_MS: Millis = 50.0;
+/// Clients of a member that drains are moved over this time, those of one that is gone over the next.
+const DRAIN_MS: Millis = 5_000.0;
+const GONE_MS: Millis = 1_000.0;
 
 /// What a client asks for.
 #[derive(Clone, Debug, PartialEq)]
@@ -220,11 +223,24 @@
     Adopt(TransactionId),
     Measure,
     Leave,
+    Drain(BackendId, Spread),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
+/// Moves spread evenly over a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Spread {
+    from: Millis,
     until: Millis,
+    most: usize,
+}
+
+impl Spread {
+    /// How many of these are to be moved now, so that none is left in the end.
+    fn due(&mut self, now: Millis, up: usize) -> usize {
+        self.most = self.most.max(up);
+        let left = ((self.until - now) / (self.until - self.from)).clamp(0.0, 1.0);
+        up.saturating_sub((self.most as f64 * left).floor() as usize)
+    }
 }
 
 /// The core of a node.
@@ -244,7 +260,7 @@
     handling: bool,
     watching: bool,
     ready: bool,
-    leaving: Option<Leaving>,
+    leaving: Option<Spread>,
     orders: VecDeque<Order>,
     counters: Counters,
 }
@@ -333,8 +349,15 @@
 
     fn list(&mut self, now: Millis, list: PoolList, scope: ListScope) {
         let (entries, changed) = self.pool.merge(list, scope != ListScope::Patch);
-        for (name, phase) in changed {
+        for (id, name, phase) in changed {
             self.log(LogLine::Member(name, phase));
+            let within = match phase {
+                Phase::Serving => continue,
+                Phase::Draining => DRAIN_MS,
+                Phase::Gone => GONE_MS,
+            };
+            let spread = Spread { from: now, until: now + within, most: 0 };
+            self.timers.set(now + LEAVE_STEP_MS, Due::Drain(id, spread));
         }
         let pool = &self.pool;
         self.delays.keep(|member| pool.listed(member));
@@ -708,6 +731,7 @@
                 }
                 Due::Measure => self.measure(now),
                 Due::Leave => self.leave_step(now),
+                Due::Drain(member, spread) => self.drain_step(now, member, spread),
             }
         }
     }
@@ -757,21 +781,35 @@
     /// Begins to move all clients, evenly until then. New ones are still served, and moved in their turn.
     pub fn leave(&mut self, now: Millis, until: Millis) {
         if self.leaving.is_none() {
-            self.leaving = Some(Leaving { until });
+            self.leaving = Some(Spread { from: now, until, most: 0 });
             self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
         }
     }
 
     fn leave_step(&mut self, now: Millis) {
-        let Some(Leaving { until }) = self.leaving else { return };
-        let up: Vec<_> =
-            self.transactions.iter().filter(|(_, t)| t.stage == Stage::Up).map(|(id, _)| *id).collect();
-        let steps = ((until - now) / LEAVE_STEP_MS).floor().max(1.0);
-        let part = (up.len() as f64 / steps).ceil() as usize;
-        for id in up.into_iter().take(part) {
+        let Some(mut spread) = self.leaving else { return };
+        self.move_part(now, &mut spread, |_| true);
+        self.leaving = Some(spread);
+        self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
+    }
+
+    /// A member leaves: its clients are told to move before it goes, bit by bit, whether or not it tells them.
+    fn drain_step(&mut self, now: Millis, member: BackendId, mut spread: Spread) {
+        if !self.pool.serving(member) {
+            self.move_part(now, &mut spread, |t| t.member == Some(member));
+            if now < spread.until {
+                self.timers.set(now + LEAVE_STEP_MS, Due::Drain(member, spread));
+            }
+        }
+    }
+
+    fn move_part(&mut self, now: Millis, spread: &mut Spread, which: impl Fn(&Transaction) -> bool) {
+        let up = self.transactions.iter().filter(|(_, t)| t.stage == Stage::Up && which(t));
+        let up: Vec<_> = up.map(|(id, _)| *id).collect();
+        let due = spread.due(now, up.len());
+        for id in up.into_iter().take(due) {
             self.send_away(now, id);
         }
-        self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
     }
 }
 
--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -12,7 +12,11 @@
 
 impl Pool {
     /// Takes a list or changes; returns them in the module's terms, and which members changed state.
-    pub(super) fn merge(&mut self, list: PoolList, all: bool) -> (Vec<BackendInfo>, Vec<(String, Phase)>) {
+    pub(super) fn merge(
+        &mut self,
+        list: PoolList,
+        all: bool,
+    ) -> (Vec<BackendInfo>, Vec<(BackendId, String, Phase)>) {
         self.seq = list.seq;
         let before = if all { std::mem::take(&mut self.members) } else { self.members.clone() };
         let mut lines = Vec::with_capacity(list.members.len());
@@ -21,7 +25,7 @@
             let id = self.number(&member.name);
             lines.push(member.info(id));
             if before.get(&id).is_none_or(|old| old.phase != member.phase || old.born != member.born) {
-                changed.push((member.name.clone(), member.phase));
+                changed.push((id, member.name.clone(), member.phase));
             }
             if member.phase == Phase::Gone {
                 self.members.remove(&id);
@@ -31,7 +35,7 @@
         }
         if all {
             let lost = before.into_iter().filter(|(id, _)| !self.members.contains_key(id));
-            changed.extend(lost.map(|(_, member)| (member.name, Phase::Gone)));
+            changed.extend(lost.map(|(id, member)| (id, member.name, Phase::Gone)));
         }
         (lines, changed)
     }
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -259,3 +259,24 @@
     bench.run(2_000.0);
     assert_eq!((moved(&bench), bench.broker.transactions()), (40, 0));
 }
+
+/// Guards against clients that are cut off because their member went without a word.
+#[test]
+fn clients_are_moved_before_a_member_that_drains_leaves() {
+    let mut bench = Bench::new(&["a"]);
+    let ids: Vec<_> = (0..20)
+        .map(|_| {
+            let id = bench.open(Ask { grace_ms: 60_000.0, ..ask() });
+            bench.hear(id, Said::Connected);
+            bench.hear(id, Said::Up);
+            id
+        })
+        .collect();
+    let moved = |bench: &Bench| ids.iter().filter(|id| bench.commands(**id).contains(&Command::Move)).count();
+    bench.broker.listed(bench.now, list(false, vec![member("a", Phase::Draining)]));
+    bench.collect();
+    bench.run(2_500.0);
+    assert!((6..=14).contains(&moved(&bench)), "{}", moved(&bench));
+    bench.run(5_100.0);
+    assert_eq!(moved(&bench), 20);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
-//! hopmoor makes the decisions of a balancer for long-lived connections.
+//! hopmoor is a broker for long-lived connections: a decision module, a core that keeps the rules, and two
+//! fronts on it. The README tells how the modules fit; what follows is the decision module.
 //!
 //! The mechanism is that of King, Song and Dias (IBM RC21881): each interval a gateway forecasts every
 //! tenant's load, budgets guarantees first and spare capacity by priority, caps a tenant's connections at its
 //! budget over the minimum rate of one, paces those that queue, and places admitted ones by weighted round
-//! robin. The crate does no I/O, has no clock and no threads: the relay that embeds it brings events and
+//! robin. The module does no I/O, has no clock and no threads: what embeds it brings events and
 //! carries out actions.
 //!
 //! ```
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,7 @@
 use crate::api::{BackendId, Millis, Outcome};
 use crate::broker::{Broker, Command, LogLine, Order, Said, TransactionId};
 use crate::config::Config;
-use crate::front::Front;
+use crate::front::{Front, Input};
 use crate::xmpp::Realm;
 use crate::{operator, platform, xmpp};
 use slog::{Logger, debug, info, warn};
@@ -29,6 +29,10 @@
 /// Clients have left this long after SIGTERM; the process ends at the latest by the second.
 const LEAVE_MS: Millis = 2_400.0;
 const END_MS: Millis = 3_400.0;
+/// A client that is turned away for want of descriptors is to stay away for this long.
+const FULL_MS: Millis = 1_000.0;
+/// New connections still come for a while after SIGTERM, so that a node without any waits for them.
+const LINGER_MS: Millis = 600.0;
 /// Descriptors kept for anything but sessions; a session takes two.
 const SPARE_SOCKETS: usize = 64;
 /// Without a word from discovery the node goes by the list it was given after this.
@@ -63,7 +67,7 @@
     log: Logger,
     broker: RefCell<Broker>,
     sessions: RefCell<HashMap<TransactionId, mpsc::UnboundedSender<Command>>>,
-    probes: RefCell<HashMap<BackendId, mpsc::Sender<()>>>,
+    probes: RefCell<HashMap<BackendId, mpsc::Sender<SocketAddr>>>,
     watch: Notify,
     watching: std::cell::Cell<bool>,
     /// Wakes the timer driver when an earlier time was set.
@@ -252,7 +256,7 @@
     node.with(|broker, now| broker.leave(now, now + LEAVE_MS));
     while node.clock.now() < began + END_MS {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        let over = node.clock.now() > began + LEAVE_MS;
+        let over = node.clock.now() > began + LINGER_MS;
         if over && node.broker.borrow().transactions() == 0 && node.sessions.borrow().is_empty() {
             break;
         }
@@ -292,7 +296,9 @@
         // Each session may hold two descriptors: beyond the limit the client is turned away at once.
         if node.sessions.borrow().len() >= node.most_sessions {
             warn!(node.log, "too many connections"; "client" => %peer);
-            let _ = client.try_write(b"BUSY 1000\r\n");
+            let mut front = front(node.clock.now());
+            front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
+            let _ = client.try_write(front.to_client());
             continue;
         }
         let id = node.broker.borrow_mut().next_id();
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -14,29 +14,30 @@
 const WAIT: Duration = Duration::from_millis(500);
 
 pub(super) fn probe(node: &Rc<Node>, member: BackendId, dial: &str) {
+    let Ok(address) = dial.parse::<SocketAddr>() else { return };
     if let Some(known) = node.probes.borrow().get(&member)
-        && known.try_send(()).is_ok()
+        && known.try_send(address).is_ok()
     {
         return;
     }
-    let Ok(address) = dial.parse::<SocketAddr>() else { return };
     let (send, asked) = mpsc::channel(1);
-    if send.try_send(()).is_ok() {
+    if send.try_send(address).is_ok() {
         node.probes.borrow_mut().insert(member, send);
-        tokio::task::spawn_local(run(node.clone(), member, address, asked));
+        tokio::task::spawn_local(run(node.clone(), member, asked));
     }
 }
 
-async fn run(node: Rc<Node>, member: BackendId, address: SocketAddr, mut asked: mpsc::Receiver<()>) {
-    let mut stream = None;
-    while let Ok(Some(())) = tokio::time::timeout(node.keepalive, asked.recv()).await {
+async fn run(node: Rc<Node>, member: BackendId, mut asked: mpsc::Receiver<SocketAddr>) {
+    let mut kept = None;
+    while let Ok(Some(address)) = tokio::time::timeout(node.keepalive, asked.recv()).await {
+        // A member may have come back elsewhere.
+        let mut stream = kept.take().filter(|(known, _)| *known == address).map(|(_, stream)| stream);
         let ended = tokio::time::timeout(WAIT, once(&mut stream, address)).await;
         let (outcome, said) = ended.unwrap_or((Outcome::TimedOut, None));
+        // An answer that is late must not pass for that to the next probe.
+        kept = stream.filter(|_| outcome == Outcome::Ok).map(|stream| (address, stream));
         let (report, message) = (said.map(|said| said.report), said.and_then(|said| said.message_ms));
         node.with(|broker, now| broker.probed(now, member, outcome, report, message));
-        if outcome != Outcome::Ok {
-            break;
-        }
     }
     asked.close();
     let mut probes = node.probes.borrow_mut();
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -94,7 +94,10 @@
             match step {
                 Step::Say(said) => node.hear(id, said),
                 Step::Dial(dial) => server = Server::Connecting(Box::pin(dial_to(dial))),
-                Step::DropServer => server = Server::None,
+                Step::DropServer => {
+                    last_words(&server, front.to_server());
+                    server = Server::None;
+                }
                 Step::ResetServer => {
                     if let Server::Open { stream, .. } = &server {
                         let _ = stream.set_zero_linger();
@@ -109,11 +112,7 @@
                 Step::EndClient => end_client = true,
                 Step::ResetClient => return End::Reset,
                 Step::Finish => {
-                    if let Server::Open { stream, .. } = &server
-                        && !front.to_server().is_empty()
-                    {
-                        let _ = stream.try_write(front.to_server());
-                    }
+                    last_words(&server, front.to_server());
                     return End::Finish;
                 }
                 Step::Log { what, detail } => {
@@ -229,6 +228,16 @@
     TcpStream::connect(address).await
 }
 
+/// What still waits for a member goes out as far as its socket takes it at once.
+fn last_words(server: &Server, bytes: &mut Vec<u8>) {
+    if let Server::Open { stream, .. } = server
+        && !bytes.is_empty()
+    {
+        let _ = stream.try_write(bytes);
+    }
+    bytes.clear();
+}
+
 /// Writes as much as the socket takes now.
 fn write(stream: &TcpStream, bytes: &mut Vec<u8>) -> io::Result<()> {
     while !bytes.is_empty() {
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -68,6 +68,8 @@
     committed: bool,
     /// The client has been sent a stream header.
     greeted: bool,
+    /// The flow has a connection.
+    connected: bool,
     /// The last flow was given up without an end.
     silent: bool,
     /// The stream error that the member closed with.
@@ -91,6 +93,7 @@
             held_header: Vec::new(),
             committed: false,
             greeted: false,
+            connected: false,
             silent: false,
             server_error: Vec::new(),
             to_client: Vec::new(),
@@ -332,7 +335,9 @@
     /// Closes the flow before anything else happens: the next one must not be out beside it.
     fn flow_over(&mut self) {
         self.state = State::Held;
-        self.to_server.clear();
+        // A stream that was begun there is ended in good order.
+        self.to_server = if self.connected { b"</stream:stream>".to_vec() } else { Vec::new() };
+        self.connected = false;
         self.held_header.clear();
         self.server = Cutter::new(self.realm.stanza_bytes);
         self.steps.push_back(Step::DropServer);
@@ -397,13 +402,19 @@
                 self.close_flow();
                 self.over(Step::Finish);
             }
-            Input::ServerOpen if self.state == State::Negotiating => self.say(Said::Connected),
+            Input::ServerOpen if self.state == State::Negotiating => {
+                self.connected = true;
+                self.say(Said::Connected);
+            }
             Input::ServerRefused => self.flow_ended(Outcome::Unreachable),
             Input::Server(bytes) => {
                 self.server.feed(bytes);
                 self.server_sent(now);
             }
-            Input::ServerEnd | Input::ServerReset => self.flow_ended(Outcome::Reset),
+            Input::ServerEnd | Input::ServerReset => {
+                self.connected = false;
+                self.flow_ended(Outcome::Reset);
+            }
             Input::Command(command) => self.command(command),
             Input::Tick if self.due.is_some_and(|due| now >= due) => {
                 self.due = None;
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,292 @@
+//! A model of one connection's states on the platform's front, checked with random steps: whatever clients,
+//! members and the broker do, in whatever pieces, the front keeps to the protocol.
+use hopmoor::broker::{Command, Failure, Said};
+use hopmoor::config::Site;
+use hopmoor::front::{Front, Input, Step};
+use hopmoor::platform::{Names, Session};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::rc::Rc;
+
+const OPEN: &[u8] = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,t=acme,d=2000,g=5c0f\r\n";
+
+#[derive(Clone, Debug)]
+enum Do {
+    Client(Vec<u8>),
+    ClientEnd,
+    ClientReset,
+    Open,
+    Abandon,
+    Reject,
+    Fail,
+    Move,
+    Connected,
+    Refused,
+    Server(Vec<u8>),
+    ServerEnd,
+    ServerReset,
+    Wait(u16),
+}
+
+fn lines() -> impl Strategy<Value = Vec<u8>> {
+    let line = prop_oneof![
+        Just(&b"UP 77\r\n"[..]),
+        Just(&b"BUSY\r\n"[..]),
+        Just(&b"ERR\r\n"[..]),
+        Just(&b"BYE\r\n"[..]),
+        Just(&b"MOVE\r\n"[..]),
+        Just(&b"LOAD 5\r\n"[..]),
+        Just(&b"hel"[..]),
+        Just(&b"lo\r\n"[..]),
+        Just(&b"\xff\n\n"[..]),
+    ];
+    prop::collection::vec(line, 1..4).prop_map(|parts| parts.concat())
+}
+
+fn step() -> impl Strategy<Value = Do> {
+    prop_oneof![
+        4 => Just(Do::Client(OPEN.to_vec())),
+        2 => prop_oneof![Just(b"tick\r\n".to_vec()), Just(OPEN[..20].to_vec()), Just(vec![0xff; 5_000])]
+            .prop_map(Do::Client),
+        1 => Just(Do::ClientEnd),
+        1 => Just(Do::ClientReset),
+        6 => Just(Do::Open),
+        2 => Just(Do::Abandon),
+        1 => Just(Do::Reject),
+        1 => Just(Do::Fail),
+        2 => Just(Do::Move),
+        6 => Just(Do::Connected),
+        1 => Just(Do::Refused),
+        6 => lines().prop_map(Do::Server),
+        1 => Just(Do::ServerEnd),
+        1 => Just(Do::ServerReset),
+        2 => (1u16..6_000).prop_map(Do::Wait),
+    ]
+}
+
+/// What must hold, whatever the front does inside.
+#[derive(Default)]
+struct Model {
+    asked: bool,
+    up: bool,
+    told_end: bool,
+    flow: bool,
+    connected: bool,
+    over: bool,
+    sent: Vec<u8>,
+    from_server: Vec<u8>,
+}
+
+impl Model {
+    fn see(&mut self, step: Step) {
+        assert!(!self.over, "{step:?} after the end");
+        match step {
+            Step::Say(Said::Ask(ask)) => {
+                assert!(!std::mem::replace(&mut self.asked, true), "asked twice");
+                assert!(ask.grace_ms < 2_000.0, "no margin for the answer");
+            }
+            Step::Say(Said::Up) => {
+                assert!(self.connected && !self.up);
+                self.up = true;
+            }
+            Step::Say(Said::Ended(..)) => {
+                assert!(!(self.up && self.told_end), "an end told twice");
+                self.told_end = self.up;
+            }
+            Step::Dial(_) => {
+                assert!(self.asked && !self.up, "a flow for nothing");
+                assert!(!std::mem::replace(&mut self.flow, true), "two flows out");
+                self.connected = false;
+            }
+            Step::DropServer | Step::ResetServer => (self.flow, self.connected) = (false, false),
+            Step::Finish | Step::ResetClient => self.over = true,
+            _ => {}
+        }
+    }
+}
+
+fn play(steps: Vec<Do>) {
+    let site = Site { classes: vec!["chat".into()], tenants: vec!["acme".into()], ..Site::default() };
+    let mut front = Session::new(0.0, Rc::new(Names::new(&site)));
+    let (mut model, mut now) = (Model::default(), 0.0);
+    for step in steps {
+        let sent;
+        let input = match &step {
+            Do::Client(bytes) if front.reads_client() => Input::Client(bytes),
+            Do::ClientEnd => Input::ClientEnd,
+            Do::ClientReset => Input::ClientReset,
+            // The broker opens a flow, or answers, only while it is owed one.
+            Do::Open if model.asked && !model.flow && !model.up => {
+                let (dial, member) = ("127.0.0.1:9".into(), "a".into());
+                Input::Command(Command::Open { dial, member, wait_ms: 500.0 })
+            }
+            Do::Abandon if model.flow && !model.up => Input::Command(Command::Abandon),
+            Do::Reject if model.asked && !model.flow => Input::Command(Command::Reject(40.0)),
+            Do::Fail if model.asked && !model.flow => Input::Command(Command::Fail(Failure::Deadline)),
+            Do::Move if model.up && !model.told_end => Input::Command(Command::Move),
+            Do::Connected if model.flow && !model.connected && !model.up => {
+                model.connected = true;
+                front.take(now, Input::ServerOpen);
+                sent = std::mem::take(front.to_server());
+                let text = String::from_utf8(sent).unwrap();
+                assert_eq!(text, String::from_utf8_lossy(OPEN).replace("d=2000", "d=500"));
+                Input::ServerWritten
+            }
+            Do::Refused if model.flow && !model.connected && !model.up => Input::ServerRefused,
+            Do::Server(bytes) if model.connected && front.reads_server() => {
+                model.from_server.extend_from_slice(bytes);
+                Input::Server(bytes)
+            }
+            Do::ServerEnd if model.connected => Input::ServerEnd,
+            Do::ServerReset if model.connected => Input::ServerReset,
+            Do::Wait(ms) => {
+                now += f64::from(*ms);
+                Input::Tick
+            }
+            _ => continue,
+        };
+        if matches!(input, Input::Command(Command::Open { .. })) {
+            model.from_server.clear();
+        }
+        if matches!(input, Input::ServerEnd | Input::ServerReset) {
+            model.connected = false;
+        }
+        front.take(now, input);
+        while let Some(step) = front.step() {
+            model.see(step);
+        }
+        model.sent.append(front.to_client());
+        if model.over {
+            break;
+        }
+    }
+    check(&model);
+}
+
+fn check(model: &Model) {
+    let text = String::from_utf8_lossy(&model.sent).into_owned();
+    if model.up {
+        // What the member sent, unchanged; then at most MOVE, between two lines.
+        let own =
+            model.sent.strip_suffix(b"MOVE\r\n").filter(|_| !model.from_server.starts_with(&model.sent));
+        let passed = own.unwrap_or(&model.sent);
+        let passed =
+            passed.strip_suffix(b"\r\n").filter(|_| !model.from_server.starts_with(passed)).unwrap_or(passed);
+        assert!(model.from_server.starts_with(passed), "changed on the way: {text:?}");
+    } else if model.over && model.asked && !text.is_empty() {
+        assert_eq!(text.matches("\r\n").count(), 1, "one answer: {text:?}");
+        assert!(["BUSY", "ERR", "BYE"].iter().any(|word| text.starts_with(word)), "{text:?}");
+    } else if model.over && !text.is_empty() {
+        assert!(text.starts_with("ERR "), "{text:?}");
+    }
+}
+
+#[test]
+fn random_steps_keep_the_protocol() {
+    let config = Config { cases: 4_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = prop::collection::vec(step(), 1..30);
+    runner
+        .run(&steps, |steps| {
+            play(steps);
+            Ok(())
+        })
+        .unwrap_or_else(|error| panic!("{error}"));
+}
+
+// ---- Single cases ----
+
+fn session() -> Session {
+    let site = Site { classes: vec!["chat".into()], tenants: vec!["acme".into()], ..Site::default() };
+    Session::new(0.0, Rc::new(Names::new(&site)))
+}
+
+fn said(front: &mut Session) -> Vec<Step> {
+    std::iter::from_fn(|| front.step()).collect()
+}
+
+fn up() -> Session {
+    let mut front = session();
+    front.take(0.0, Input::Client(OPEN));
+    let open = Command::Open { dial: "127.0.0.1:9".into(), member: "a".into(), wait_ms: 500.0 };
+    front.take(0.0, Input::Command(open));
+    front.take(0.0, Input::ServerOpen);
+    front.to_server().clear();
+    front.take(0.0, Input::ServerWritten);
+    front.take(1.0, Input::Server(b"UP 1\r\n"));
+    said(&mut front);
+    front.to_client().clear();
+    front
+}
+
+#[test]
+fn bad_first_lines_get_a_failure_and_are_never_forwarded() {
+    let long = vec![b'x'; 5_000];
+    let unknown = b"OPEN 1 2 c=news,t=acme,d=2000\r\n";
+    for bytes in [
+        &b"HELLO\r\n"[..],
+        &long,
+        unknown,
+        b"OPEN 1 2 c=chat,t=nobody,d=9\r\n",
+        b"OPEN 1 2 c=chat,t=acme\r\n",
+    ] {
+        let mut front = session();
+        front.take(0.0, Input::Client(bytes));
+        let steps = said(&mut front);
+        assert!(steps.contains(&Step::Finish) && steps.iter().any(|step| matches!(step, Step::Log { .. })));
+        assert!(front.to_client().starts_with(b"ERR ") && front.to_server().is_empty());
+    }
+    let mut front = session();
+    front.take(0.0, Input::Client(b"OPEN 1"));
+    front.take(11_000.0, Input::Tick);
+    assert!(front.to_client().starts_with(b"ERR silent"));
+}
+
+#[test]
+fn move_waits_for_the_end_of_a_line_and_not_for_ever() {
+    let mut front = up();
+    front.take(2.0, Input::Server(b"half"));
+    front.take(3.0, Input::Command(Command::Move));
+    assert_eq!(front.to_client(), b"half");
+    front.take(4.0, Input::Server(b" line\r\nnext"));
+    assert_eq!(front.to_client(), b"half line\r\nMOVE\r\n");
+    assert_eq!(said(&mut front).last(), Some(&Step::Finish));
+    let mut front = up();
+    front.take(2.0, Input::Server(b"half"));
+    front.take(3.0, Input::Command(Command::Move));
+    front.take(400.0, Input::Tick);
+    assert_eq!(front.to_client(), b"half\r\nMOVE\r\n");
+}
+
+#[test]
+fn a_mute_connection_is_moved_within_seven_seconds() {
+    let mut front = up();
+    front.take(2_000.0, Input::Client(b"tick\r\n"));
+    let due = front.due().unwrap();
+    assert!(due <= 7_000.0);
+    front.take(due, Input::Tick);
+    assert_eq!(front.to_client(), b"MOVE\r\n");
+    assert!(said(&mut front).iter().any(|step| matches!(step, Step::Say(Said::Ended(..)))));
+}
+
+#[test]
+fn ends_pass_on_as_they_came() {
+    let mut front = up();
+    front.take(2.0, Input::ServerEnd);
+    assert!(said(&mut front).contains(&Step::EndClient));
+    front.take(3.0, Input::Client(b"last\r\n"));
+    assert_eq!(front.to_server(), b"last\r\n", "the other direction goes on");
+    front.take(1_000.0, Input::Tick);
+    assert_eq!(said(&mut front), [Step::Finish]);
+    let mut front = up();
+    front.take(2.0, Input::ServerReset);
+    assert_eq!(said(&mut front).last(), Some(&Step::ResetClient));
+    let mut front = up();
+    front.take(2.0, Input::ClientEnd);
+    assert!(said(&mut front).contains(&Step::EndServer));
+    front.take(3.0, Input::Server(b"BYE\r\n"));
+    front.take(3.0, Input::ServerEnd);
+    let ok = |step: &Step| matches!(step, Step::Say(Said::Ended(hopmoor::Outcome::Ok, None)));
+    assert!(said(&mut front).iter().any(ok));
+}
