Ask calm members for their delay half as often; test the node as a process

Cause: every member that holds connections was asked each second, and the module's own probes came on top, some within 20 ms. Done: asked each second only while messages take over a sixth of the shortest aim, else every other second, and not right after a report. Members that drain are not asked. A session is forgotten only when its last word is written.

--- a/src/broker/delay.rs
+++ b/src/broker/delay.rs
@@ -37,6 +37,16 @@
         self.members.retain(|member, _| listed(*member));
     }
 
+    /// Whether a member should be asked again: each second while its messages take long enough to matter, else
+    /// every other second. Probes cost their price at every member, loaded or not.
+    pub(super) fn asks(&self, now: Millis, member: BackendId) -> bool {
+        let reported = self.members.get(&member).and_then(|known| known.reported);
+        reported.is_none_or(|(took, at)| {
+            let every = if took > self.over / 2.0 { EVERY_MS } else { 2.0 * EVERY_MS };
+            now - at > every - EVERY_MS / 4.0
+        })
+    }
+
     /// Takes a member's own word and returns what the module should hear.
     pub(super) fn reported(&mut self, now: Millis, member: BackendId, took: Millis) -> Option<Millis> {
         self.members.entry(member).or_default().reported = Some((took, now));
@@ -86,6 +96,17 @@
         assert_eq!(Delays::new(false, 60.0).measured(0.0, m, 500.0), None);
     }
 
+    #[test]
+    fn calm_members_are_asked_half_as_often() {
+        let mut delays = Delays::new(true, 60.0);
+        let (calm, slow) = (BackendId(1), BackendId(2));
+        assert!(delays.asks(0.0, calm));
+        delays.reported(0.0, calm, 9.0);
+        delays.reported(0.0, slow, 11.0);
+        assert!(!delays.asks(200.0, slow) && delays.asks(1_000.0, slow));
+        assert!(!delays.asks(1_000.0, calm) && delays.asks(2_000.0, calm));
+    }
+
     /// Guards against quick echoes that hide what the member itself says of its delay.
     #[test]
     fn a_quick_reply_does_not_undo_a_slow_report() {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -641,7 +641,10 @@
         let holders: BTreeSet<_> =
             self.transactions.values().filter(|t| t.stage == Stage::Up).filter_map(|t| t.member).collect();
         for member in holders {
-            self.probe(member);
+            // One that drains is asked nothing more.
+            if self.pool.serving(member) && self.delays.asks(now, member) {
+                self.probe(member);
+            }
         }
         self.timers.set(now + MEASURE_MS, Due::Measure);
     }
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -44,13 +44,14 @@
 ) {
     let _ = client.set_nodelay(true);
     let end = drive(&node, id, peer, &client, front.as_mut(), commands).await;
-    node.sessions.borrow_mut().remove(&id);
     match end {
         End::Finish => finish(client, std::mem::take(front.to_client())).await,
         End::Reset => {
             let _ = client.set_zero_linger();
         }
     }
+    // Only now: a node that leaves must not end while a last word is still being written.
+    node.sessions.borrow_mut().remove(&id);
 }
 
 enum End {
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,169 @@
+//! The platform node as a process, between a discovery, a member and clients written here, on loopback.
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+fn hopmoor() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hopmoor"));
+    command.env_remove("NODE_CONFIG");
+    command
+}
+
+fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// Serves each `OPEN` and returns each line that follows.
+fn member() -> String {
+    let (listener, address) = listener();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            thread::spawn(move || {
+                let mut stream = stream.unwrap();
+                for line in BufReader::new(stream.try_clone().unwrap()).lines() {
+                    let Ok(line) = line else { return };
+                    let answer = match line.split(' ').next() {
+                        Some("OPEN") => "UP 77".to_owned(),
+                        Some("STATS") => "PONG rif=1,lat_ms=2,x0=0.1".to_owned(),
+                        _ => line,
+                    };
+                    if stream.write_all(format!("{answer}\r\n").as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Answers the first call at once and holds the others.
+fn discovery(list: String) -> String {
+    let (listener, address) = listener();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let list = list.clone();
+            thread::spawn(move || {
+                let mut stream = stream.unwrap();
+                let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+                while let Some(Ok(line)) = lines.next() {
+                    if line.starts_with("GET ") && line.contains("timeout_ms=1 ") {
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                        stream.write_all((head + &list).as_bytes()).unwrap();
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+struct Node {
+    child: Child,
+    address: String,
+    file: PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn start() -> Node {
+    let list = format!(
+        r#"{{"seq":1,"whole":true,"hosts":[{{"host":"s-1","dial":"{}","site":"a","health":"Ready"}}]}}"#,
+        member()
+    );
+    let config = format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"seq":0,"whole":true,"hosts":[]}},
+            "settings":{{"profiles":[{{"name":"chat","effect":"free"}}],"tenants":[{{"name":"acme"}}],
+            "zones":["a"],"discovery":"on_request","caps":{{"connectTimeoutMs":250}}}}}}"#,
+        discovery(list)
+    );
+    let file = std::env::temp_dir().join(format!("hopmoor-node-{}.json", std::process::id()));
+    std::fs::write(&file, config).unwrap();
+    let mut child = hopmoor().arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("listening") {
+        line.clear();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the node did not start");
+    }
+    let port = line.split("127.0.0.1:").nth(1).unwrap();
+    let port: String = port.chars().take_while(char::is_ascii_digit).collect();
+    thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    Node { child, address: format!("127.0.0.1:{port}"), file }
+}
+
+fn talk(stream: &mut BufReader<TcpStream>, line: &str) -> String {
+    stream.get_mut().write_all(line.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_line(&mut answer).unwrap();
+    answer
+}
+
+#[test]
+fn a_node_is_ready_serves_relays_moves_and_ends_well() {
+    let mut node = start();
+    let connect = || {
+        let stream = TcpStream::connect(&node.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        BufReader::new(stream)
+    };
+    assert_eq!(talk(&mut connect(), "PING\r\n"), "PONG\r\n");
+    let mut client = connect();
+    assert_eq!(talk(&mut client, "OPEN 1 2 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n");
+    assert_eq!(talk(&mut client, "tick\r\n"), "tick\r\n");
+    let mut bad = connect();
+    assert!(talk(&mut bad, "OPEN 1 2 c=none,t=acme,d=5000\r\n").starts_with("ERR "));
+    assert_eq!(bad.read(&mut [0; 9]).unwrap(), 0, "closed after its answer");
+    let told = Instant::now();
+    assert!(Command::new("kill").arg("-TERM").arg(node.child.id().to_string()).status().unwrap().success());
+    let mut late = connect();
+    assert_eq!(talk(&mut late, "OPEN 3 4 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n", "still serving");
+    for client in [&mut client, &mut late] {
+        let mut rest = String::new();
+        client.read_to_string(&mut rest).unwrap();
+        assert_eq!(rest, "MOVE\r\n");
+    }
+    drop((client, late));
+    assert!(node.child.wait().unwrap().success());
+    assert!(told.elapsed() < Duration::from_millis(3_700), "{:?}", told.elapsed());
+}
+
+fn run(args: &[&str]) -> (i32, Output) {
+    let output = hopmoor().args(args).output().unwrap();
+    (output.status.code().unwrap(), output)
+}
+
+#[test]
+fn the_command_line_says_what_is_wrong() {
+    for args in [&[][..], &["dance"], &["serve"], &["version", "--loud"], &["check", "--config"]] {
+        let (code, output) = run(args);
+        assert!(code == 2 && String::from_utf8_lossy(&output.stderr).contains("usage"), "{args:?}");
+    }
+    assert_eq!(run(&["help"]).0, 0);
+    assert!(String::from_utf8_lossy(&run(&["version"]).1.stdout).starts_with("hopmoor "));
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
+    for command in ["check", "serve"] {
+        let (code, output) = run(&[command, "--config", file]);
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(code == 1 && error.lines().count() == 1 && error.contains("Cargo.toml"), "{error}");
+    }
+}
+
+#[test]
+fn the_operators_file_in_deploy_is_good() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/xmpp.json");
+    let (code, output) = run(&["check", "--xmpp", file]);
+    assert_eq!(code, 0, "{}", String::from_utf8_lossy(&output.stderr));
+}
