--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -199,7 +199,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut usr1 = signal(SignalKind::user_defined1())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    info!(node.log, "listening"; "node" => &config.name, "address" => ?listener.local_addr(),
+    info!(node.log, "listening"; "node" => &config.name, "address" => %listener.local_addr()?,
         "version" => env!("CARGO_PKG_VERSION"));
     node.with(|_, _| ()); // what the known list brought about
     tokio::task::spawn_local(timers(node.clone()));
