Keep back 100 ms of a client's wait for its answer, in place of 15

Node n0 rejected its transaction 16 then, after 1776 ms of the 1800 that the client waits. Cause, as far as the log tells: the answer left 24 ms before the deadline by the node's clock, which starts when the line is read; a process that is not run for some 70 ms between the line's arrival and the read, or before the write, is too late. Ruled out: a missing or second answer (the log has one reject), a flow (none was opened). The stall itself was not seen. Done: a margin of 100 ms on both fronts; what waits that long is long past its aim. Test: tests/platform.rs.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,8 +21,9 @@
 pub const LINE: usize = 4 * 1024;
 /// A client that says nothing for this long gets its answer.
 const SILENT_MS: Millis = 10_000.0;
-/// `d` runs from when the client sent its line: kept back for the way here and for that of the answer.
-const MARGIN_MS: Millis = 15.0;
+/// `d` runs from when the client sent its line: kept back for the way here and for that of the answer. Guards
+/// against a process that is not run for a moment: with 15 ms one answer in a day came too late.
+const MARGIN_MS: Millis = 100.0;
 /// A line that is half relayed may delay `MOVE` by this, and a side that has ended the other by the next.
 const MOVE_WAIT_MS: Millis = 300.0;
 const END_WAIT_MS: Millis = 800.0;
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -16,7 +16,7 @@
 /// A client that has sent no stream header after this is told so.
 const SILENT_MS: Millis = 10_000.0;
 /// What is kept back of a deadline for the answer's own way.
-const MARGIN_MS: Millis = 15.0;
+const MARGIN_MS: Millis = 100.0;
 /// A side that was told of the stream's end has this long to end it too.
 const END_WAIT_MS: Millis = 800.0;
 const BIND: &str = "urn:ietf:params:xml:ns:xmpp-bind";
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -83,7 +83,8 @@
         match step {
             Step::Say(Said::Ask(ask)) => {
                 assert!(!std::mem::replace(&mut self.asked, true), "asked twice");
-                assert!(ask.grace_ms < 2_000.0, "no margin for the answer");
+                // With 15 ms one answer came too late on a busy machine.
+                assert!(ask.grace_ms <= 1_900.0, "no margin for the answer");
             }
             Step::Say(Said::Up) => {
                 assert!(self.connected && !self.up);
