Count descriptors as held, let silent clients give way, turn bad first lines away at once

A trace of each first line taken showed that 474 attempts for bad clients came to members: d= passed src/platform/parse.rs, and ids of open transactions passed the broker; all six members answered ERR within a millisecond, and each was left out for 200 ms, so that usual clients waited (median to the first attempt 262 ms). A test showed one more: with the backlog of 128 a burst of connections lost SYNs (ListenOverflows) for a second.

Ruled out: memory (3 of 48 MB) and time of the process (0.01 s in a second).

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -1,5 +1,6 @@
 //! Counters of what is taken in, sent and answered.
 
+use super::Bad;
 use crate::api::Outcome;
 use std::fmt;
 
@@ -28,8 +29,22 @@
     asks,
     /// Connections that had stood before the node started.
     adopted,
-    /// First lines, or streams, that could not be understood.
-    malformed,
+    /// First lines, or streams, that could not be read or said what can't be.
+    bad_malformed,
+    /// First lines, or stanzas before the answer, that were too long.
+    bad_too_long,
+    /// First lines, or streams, that named what does not exist.
+    bad_unknown,
+    /// Clients that ended before their first line was whole.
+    bad_half_closed,
+    /// Clients that did not send their first line in time.
+    bad_silent,
+    /// Clients without a first line that gave way to others.
+    bad_crowded_out,
+    /// Clients turned away because no descriptor was left.
+    no_room,
+    /// Transactions under the name of another one that was open.
+    bad_duplicate,
     /// Clients that left before their answer or ended their connection.
     left,
     /// Server-side flows opened.
@@ -72,6 +87,17 @@
     held,
 }
 
+pub(super) fn count_bad(counters: &mut Counters, bad: Bad) {
+    let counter = match bad {
+        Bad::Malformed => &mut counters.bad_malformed,
+        Bad::TooLong => &mut counters.bad_too_long,
+        Bad::Unknown => &mut counters.bad_unknown,
+        Bad::HalfClosed => &mut counters.bad_half_closed,
+        Bad::Silent => &mut counters.bad_silent,
+    };
+    *counter += 1;
+}
+
 pub(super) fn count_outcome(counters: &mut Counters, outcome: Outcome, stood: bool) {
     let counter = match (outcome, stood) {
         (Outcome::Ok | Outcome::Cancelled, true) => &mut counters.ended,
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -7,186 +7,30 @@
 
 mod counters;
 mod delay;
+mod moves;
 mod pool;
 mod timers;
+mod words;
 
 pub use counters::Counters;
+pub use words::*;
 
 use crate::api::*;
 use crate::config::Site;
 use crate::pool::PoolList;
-use counters::count_outcome;
+use counters::{count_bad, count_outcome};
 use delay::Delays;
+use moves::Spread;
 use pool::Pool;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use timers::Timers;
 
-/// Number of a transaction: one client connection's one request.
-pub type TransactionId = RequestId;
-
 /// Pause before an adopted connection that its member did not take is tried there again.
 const ADOPT_PAUSE_MS: Millis = 500.0;
 /// Attempts of one transaction, whatever the settings say.
 const MOST_FLOWS: u32 = 6;
 /// How often members that hold connections are asked how long a message takes there.
 const MEASURE_MS: Millis = 1_000.0;
-/// Steps in which clients are moved before the node ends, or before their member does.
-const LEAVE_STEP_MS: Millis = 50.0;
-/// Clients of a member that drains are moved over this time, those of one that is gone over the next.
-const DRAIN_MS: Millis = 5_000.0;
-const GONE_MS: Millis = 1_000.0;
-
-/// What a client asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// The group whose connections share work.
-    pub group: Option<AffinityKey>,
-    /// What it is about.
-    pub key: Option<AffinityKey>,
-    /// How long the client may be kept waiting, answer included.
-    pub grace_ms: Millis,
-    /// Expected load.
-    pub load_hint: Option<f64>,
-    /// The member that already holds it.
-    pub adopted: Option<String>,
-    /// Setting it up takes several exchanges with the member, which end when the member drains.
-    pub negotiates: bool,
-}
-
-/// What a front says of a transaction.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Said {
-    /// The client has asked.
-    Ask(Ask),
-    /// A readiness check waits for [`Command::Ready`].
-    Ping,
-    /// The flow has a connection.
-    Connected,
-    /// Something that the member sent has reached the client: no other member may take over.
-    Committed,
-    /// The member serves; from now on the transaction is a connection.
-    Up,
-    /// The flow ended.
-    Ended(Outcome, Option<Report>),
-    /// The client is gone.
-    Left,
-    /// A relayed line was answered by the member after this time.
-    Message(Millis),
-    /// The connection's load, in microseconds of work a second.
-    Load(f64),
-    /// The client sent something that can't be understood; it was answered by the front.
-    Malformed,
-}
-
-/// Why a transaction failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The deadline came.
-    Deadline,
-    /// The member that had begun to answer did not finish.
-    Broken,
-    /// The decision module gave it up.
-    GivenUp,
-    /// The connection that was to be adopted could not be.
-    NotAdopted,
-}
-
-/// What a front is to do for a transaction.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// The node is ready.
-    Ready,
-    /// Open a server-side flow.
-    Open {
-        /// Its member's address.
-        dial: String,
-        /// Its member's name.
-        member: String,
-        /// How long the broker will wait for it to be up.
-        wait_ms: Millis,
-    },
-    /// Give up the flow: close it at once.
-    Abandon,
-    /// Final answer: reject; come again after so many milliseconds.
-    Reject(Millis),
-    /// Final answer: failed.
-    Fail(Failure),
-    /// The client is to come again: tell it so and end the connection.
-    Move,
-}
-
-/// What the driver is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    /// Hand this to the transaction's front.
-    Front(TransactionId, Command),
-    /// Probe a member and report with [`Broker::probed`].
-    Probe {
-        /// Its number.
-        member: BackendId,
-        /// Its address.
-        dial: String,
-    },
-    /// Watch discovery from the pool's version on, or stop.
-    Watch(bool),
-    /// Fetch the whole list once.
-    Fetch,
-    /// Write a log line.
-    Log(LogLine),
-}
-
-/// Things worth a log line.
-#[derive(Clone, Debug, PartialEq)]
-pub enum LogLine {
-    /// The decision module's own words.
-    Module(String),
-    /// The decision module reports a defect of its own.
-    Fault(String),
-    /// A transaction had no answer at its deadline; the broker failed it.
-    Overdue(TransactionId),
-    /// The module named a member that may not be sent to.
-    Withheld(TransactionId, String),
-    /// A pool member changed.
-    Member(String, Phase),
-    /// Messages at a member take long, or no longer do.
-    Slow(String, Millis),
-    /// A client was moved away from a member.
-    Moved(TransactionId, String),
-    /// A transaction was rejected or failed, after so many flows and so long.
-    Unserved {
-        /// Which.
-        id: TransactionId,
-        /// Its class.
-        class: ClassId,
-        /// Its tenant.
-        tenant: TenantId,
-        /// The answer.
-        answer: Command,
-        /// Server-side flows that were tried.
-        flows: u32,
-        /// Time from its first line to the answer.
-        waited_ms: Millis,
-    },
-    /// A probe's word.
-    Probed(String, Outcome, Option<f64>, Option<Millis>),
-    /// An attempt failed.
-    Flow {
-        /// Whose.
-        id: TransactionId,
-        /// At which member.
-        member: String,
-        /// How.
-        outcome: Outcome,
-        /// After how long.
-        took_ms: Millis,
-        /// Whether it stood.
-        stood: bool,
-    },
-}
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -200,6 +44,7 @@
 
 #[derive(Debug)]
 struct Transaction {
+    name: Option<Box<str>>,
     request: Request,
     stage: Stage,
     flows: u32,
@@ -226,23 +71,6 @@
     Drain(BackendId, Spread),
 }
 
-/// Moves spread evenly over a time.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Spread {
-    from: Millis,
-    until: Millis,
-    most: usize,
-}
-
-impl Spread {
-    /// How many of these are to be moved now, so that none is left in the end.
-    fn due(&mut self, now: Millis, up: usize) -> usize {
-        self.most = self.most.max(up);
-        let left = ((self.until - now) / (self.until - self.from)).clamp(0.0, 1.0);
-        up.saturating_sub((self.most as f64 * left).floor() as usize)
-    }
-}
-
 /// The core of a node.
 pub struct Broker {
     balancer: crate::Balancer,
@@ -250,6 +78,8 @@
     most_flows: u32,
     next: u64,
     transactions: BTreeMap<TransactionId, Transaction>,
+    /// What clients call the transactions that are open.
+    names: BTreeSet<Box<str>>,
     pings: Vec<TransactionId>,
     pool: Pool,
     delays: Delays,
@@ -278,6 +108,7 @@
             balancer: crate::Balancer::new(settings, seed),
             next: 0,
             transactions: BTreeMap::new(),
+            names: BTreeSet::new(),
             pings: Vec::new(),
             pool: Pool::default(),
             timers: Timers::default(),
@@ -302,6 +133,16 @@
         Counters { open: up, held: self.transactions.len() as u64 - up, ..self.counters.clone() }
     }
 
+    /// So many clients without a first line gave way to others.
+    pub fn crowded_out(&mut self, clients: u64) {
+        self.counters.bad_crowded_out += clients;
+    }
+
+    /// A client was turned away because no descriptor was left.
+    pub fn no_room(&mut self) {
+        self.counters.no_room += 1;
+    }
+
     /// A number for a new client connection.
     pub fn next_id(&mut self) -> TransactionId {
         self.next += 1;
@@ -351,13 +192,7 @@
         let (entries, changed) = self.pool.merge(list, scope != ListScope::Patch);
         for (id, name, phase) in changed {
             self.log(LogLine::Member(name, phase));
-            let within = match phase {
-                Phase::Serving => continue,
-                Phase::Draining => DRAIN_MS,
-                Phase::Gone => GONE_MS,
-            };
-            let spread = Spread { from: now, until: now + within, most: 0 };
-            self.timers.set(now + LEAVE_STEP_MS, Due::Drain(id, spread));
+            self.begin_drain(now, id, phase);
         }
         let pool = &self.pool;
         self.delays.keep(|member| pool.listed(member));
@@ -427,7 +262,7 @@
             Said::Ask(ask) => self.asked(now, id, ask),
             Said::Ping if self.ready => self.orders.push_back(Order::Front(id, Command::Ready)),
             Said::Ping => self.pings.push(id),
-            Said::Malformed => self.counters.malformed += 1,
+            Said::Bad(bad) => count_bad(&mut self.counters, bad),
             Said::Connected => {
                 if let Some(t) = self.transactions.get_mut(&id)
                     && matches!(t.stage, Stage::Out { .. })
@@ -457,6 +292,15 @@
         if self.transactions.contains_key(&id) {
             return;
         }
+        // Guards against a client that takes the name of another's open transaction: members turn it away, one
+        // after the other, and each refusal would count against them.
+        if let Some(name) = &ask.name
+            && !self.names.insert(name.clone())
+        {
+            self.counters.bad_duplicate += 1;
+            self.log(LogLine::Duplicate(id, name.clone()));
+            return self.orders.push_back(Order::Front(id, Command::Fail(Failure::Duplicate)));
+        }
         self.counters.asks += 1;
         let grace_ms = if ask.grace_ms.is_finite() { ask.grace_ms.max(0.0) } else { 0.0 };
         let request = Request {
@@ -475,6 +319,7 @@
         self.transactions.insert(
             id,
             Transaction {
+                name: ask.name,
                 request,
                 stage: Stage::Held,
                 flows: 0,
@@ -540,7 +385,7 @@
             if t.committed && !stood && outcome != Outcome::Ok {
                 self.answer(now, id, Command::Fail(Failure::Broken));
             }
-            self.transactions.remove(&id);
+            self.forget(id);
         }
         self.feed(now, Event::Ended { id, attempt, backend: member, outcome, closed, report });
     }
@@ -561,7 +406,7 @@
         if stage != Stage::Held {
             self.orders.push_back(Order::Front(id, Command::Abandon));
         }
-        let Some(t) = self.transactions.remove(&id) else { return };
+        let Some(t) = self.forget(id) else { return };
         if let (true, Stage::Out { .. }, Some(backend)) = (told, stage, t.member) {
             let attempt = t.flows.saturating_sub(1);
             let outcome = Outcome::Cancelled;
@@ -681,9 +526,18 @@
         self.orders.push_back(Order::Log(line));
     }
 
+    /// Lets go of a transaction and of its name.
+    fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
+        let t = self.transactions.remove(&id)?;
+        if let Some(name) = &t.name {
+            self.names.remove(name);
+        }
+        Some(t)
+    }
+
     /// Gives the final answer and forgets the transaction.
     fn answer(&mut self, now: Millis, id: TransactionId, command: Command) {
-        if let Some(t) = self.transactions.remove(&id) {
+        if let Some(t) = self.forget(id) {
             let Request { class, tenant, .. } = t.request;
             let (answer, flows, waited_ms) = (command.clone(), t.flows, now - t.asked);
             self.log(LogLine::Unserved { id, class, tenant, answer, flows, waited_ms });
@@ -695,17 +549,6 @@
         }
     }
 
-    /// Moves a client: its connection, or what has been negotiated of it, ends in good order.
-    fn send_away(&mut self, now: Millis, id: TransactionId) {
-        let Some(t) = self.transactions.remove(&id) else { return };
-        let Some(backend) = t.member else { return };
-        self.counters.moved += 1;
-        self.log(LogLine::Moved(id, t.member_name.clone()));
-        self.orders.push_back(Order::Front(id, Command::Move));
-        let (attempt, outcome) = (t.flows.saturating_sub(1), Outcome::Cancelled);
-        self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
-    }
-
     // ---- Time ----
 
     /// Does what has fallen due.
@@ -778,42 +621,6 @@
             }
         }
     }
-
-    // ---- The end of the node ----
-
-    /// Begins to move all clients, evenly until then. New ones are still served, and moved in their turn.
-    pub fn leave(&mut self, now: Millis, until: Millis) {
-        if self.leaving.is_none() {
-            self.leaving = Some(Spread { from: now, until, most: 0 });
-            self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
-        }
-    }
-
-    fn leave_step(&mut self, now: Millis) {
-        let Some(mut spread) = self.leaving else { return };
-        self.move_part(now, &mut spread, |_| true);
-        self.leaving = Some(spread);
-        self.timers.set(now + LEAVE_STEP_MS, Due::Leave);
-    }
-
-    /// A member leaves: its clients are told to move before it goes, bit by bit, whether or not it tells them.
-    fn drain_step(&mut self, now: Millis, member: BackendId, mut spread: Spread) {
-        if !self.pool.serving(member) {
-            self.move_part(now, &mut spread, |t| t.member == Some(member));
-            if now < spread.until {
-                self.timers.set(now + LEAVE_STEP_MS, Due::Drain(member, spread));
-            }
-        }
-    }
-
-    fn move_part(&mut self, now: Millis, spread: &mut Spread, which: impl Fn(&Transaction) -> bool) {
-        let up = self.transactions.iter().filter(|(_, t)| t.stage == Stage::Up && which(t));
-        let up: Vec<_> = up.map(|(id, _)| *id).collect();
-        let due = spread.due(now, up.len());
-        for id in up.into_iter().take(due) {
-            self.send_away(now, id);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -31,6 +31,7 @@
 
 fn ask() -> Ask {
     Ask {
+        name: None,
         class: ClassId(0),
         tenant: TenantId(0),
         group: None,
@@ -241,6 +242,28 @@
     assert_eq!(probes(&bench), 2);
 }
 
+/// Guards against clients that take the name of another's open transaction: they went to six members each,
+/// were an error at all of them, and had each member left out for a while.
+#[test]
+fn a_name_that_is_open_fails_at_once_and_reaches_no_member() {
+    let mut bench = Bench::new(&["a", "b"]);
+    let named = |name: &str| Ask { name: Some(name.into()), ..ask() };
+    let first = bench.open(named("x"));
+    bench.hear(first, Said::Connected);
+    bench.hear(first, Said::Up);
+    let second = bench.open(named("x"));
+    assert_eq!(bench.commands(second), [Command::Fail(Failure::Duplicate)]);
+    let third = bench.open(named("y"));
+    assert_eq!(opened(&bench.commands(third)).len(), 1);
+    // Its own end, however it comes, frees the name.
+    bench.hear(first, Said::Left);
+    let again = bench.open(named("x"));
+    assert_eq!(opened(&bench.commands(again)).len(), 1);
+    bench.hear(again, Said::Left);
+    let counters = bench.broker.counters();
+    assert_eq!((counters.bad_duplicate, counters.asks), (1, 3));
+}
+
 #[test]
 fn leaving_moves_all_evenly_and_in_time() {
     let mut bench = Bench::new(&["a", "b"]);
--- /dev/null
+++ b/src/broker/words.rs
@@ -0,0 +1,179 @@
+//! What fronts and drivers say to the broker, and what it tells them to do.
+
+use crate::api::*;
+
+/// Number of a transaction: one client connection's one request.
+pub type TransactionId = RequestId;
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// What the client calls it, where the wire has it name it: no two that are open may share one.
+    pub name: Option<Box<str>>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The group whose connections share work.
+    pub group: Option<AffinityKey>,
+    /// What it is about.
+    pub key: Option<AffinityKey>,
+    /// How long the client may be kept waiting, answer included.
+    pub grace_ms: Millis,
+    /// Expected load.
+    pub load_hint: Option<f64>,
+    /// The member that already holds it.
+    pub adopted: Option<String>,
+    /// Setting it up takes several exchanges with the member, which end when the member drains.
+    pub negotiates: bool,
+}
+
+/// What a front says of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// The client has asked.
+    Ask(Ask),
+    /// A readiness check waits for [`Command::Ready`].
+    Ping,
+    /// The flow has a connection.
+    Connected,
+    /// Something that the member sent has reached the client: no other member may take over.
+    Committed,
+    /// The member serves; from now on the transaction is a connection.
+    Up,
+    /// The flow ended.
+    Ended(Outcome, Option<Report>),
+    /// The client is gone.
+    Left,
+    /// A relayed line was answered by the member after this time.
+    Message(Millis),
+    /// The connection's load, in microseconds of work a second.
+    Load(f64),
+    /// The client sent something that can't be taken; it was answered by the front.
+    Bad(Bad),
+}
+
+/// What is wrong with what a client sent, or did not send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    /// It can't be read, or says what can't be.
+    Malformed,
+    /// It is longer than is taken.
+    TooLong,
+    /// It names a class, service, tenant or team that does not exist.
+    Unknown,
+    /// It ended before it was whole.
+    HalfClosed,
+    /// It did not come.
+    Silent,
+}
+
+/// Why a transaction failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The deadline came.
+    Deadline,
+    /// The member that had begun to answer did not finish.
+    Broken,
+    /// The decision module gave it up.
+    GivenUp,
+    /// The connection that was to be adopted could not be.
+    NotAdopted,
+    /// Its name is that of another one that is open.
+    Duplicate,
+}
+
+/// What a front is to do for a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// The node is ready.
+    Ready,
+    /// Open a server-side flow.
+    Open {
+        /// Its member's address.
+        dial: String,
+        /// Its member's name.
+        member: String,
+        /// How long the broker will wait for it to be up.
+        wait_ms: Millis,
+    },
+    /// Give up the flow: close it at once.
+    Abandon,
+    /// Final answer: reject; come again after so many milliseconds.
+    Reject(Millis),
+    /// Final answer: failed.
+    Fail(Failure),
+    /// The client is to come again: tell it so and end the connection.
+    Move,
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Hand this to the transaction's front.
+    Front(TransactionId, Command),
+    /// Probe a member and report with [`Broker::probed`].
+    Probe {
+        /// Its number.
+        member: BackendId,
+        /// Its address.
+        dial: String,
+    },
+    /// Watch discovery from the pool's version on, or stop.
+    Watch(bool),
+    /// Fetch the whole list once.
+    Fetch,
+    /// Write a log line.
+    Log(LogLine),
+}
+
+/// Things worth a log line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LogLine {
+    /// The decision module's own words.
+    Module(String),
+    /// The decision module reports a defect of its own.
+    Fault(String),
+    /// A transaction had no answer at its deadline; the broker failed it.
+    Overdue(TransactionId),
+    /// The module named a member that may not be sent to.
+    Withheld(TransactionId, String),
+    /// A client asked under the name of another transaction that is open.
+    Duplicate(TransactionId, Box<str>),
+    /// A pool member changed.
+    Member(String, Phase),
+    /// Messages at a member take long, or no longer do.
+    Slow(String, Millis),
+    /// A client was moved away from a member.
+    Moved(TransactionId, String),
+    /// A transaction was rejected or failed, after so many flows and so long.
+    Unserved {
+        /// Which.
+        id: TransactionId,
+        /// Its class.
+        class: ClassId,
+        /// Its tenant.
+        tenant: TenantId,
+        /// The answer.
+        answer: Command,
+        /// Server-side flows that were tried.
+        flows: u32,
+        /// Time from its first line to the answer.
+        waited_ms: Millis,
+    },
+    /// A probe's word.
+    Probed(String, Outcome, Option<f64>, Option<Millis>),
+    /// An attempt failed.
+    Flow {
+        /// Whose.
+        id: TransactionId,
+        /// At which member.
+        member: String,
+        /// How.
+        outcome: Outcome,
+        /// After how long.
+        took_ms: Millis,
+        /// Whether it stood.
+        stood: bool,
+    },
+}
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -1,10 +1,37 @@
 //! Log lines go to standard error through a thread of their own, so that they never hold up the loop.
 
+use crate::api::Millis;
 use slog::{Drain, Logger, o};
 
 /// Lines that may wait; what comes on top is dropped, and counted in the log.
 const WAITING: usize = 8_192;
 
+/// Lines about bad input that are written in a second.
+const A_SECOND: u32 = 20;
+
+/// Lets so many lines a second pass and counts the others: guards against attacks that fill the log.
+#[derive(Default)]
+pub(super) struct Gate {
+    began: Millis,
+    passed: u32,
+    held: u64,
+}
+
+impl Gate {
+    /// Whether a line may pass now, and how many were held back before it.
+    pub(super) fn pass(&mut self, now: Millis) -> (bool, u64) {
+        if now - self.began >= 1_000.0 {
+            (self.began, self.passed) = (now, 0);
+        }
+        if self.passed >= A_SECOND {
+            self.held += 1;
+            return (false, 0);
+        }
+        self.passed += 1;
+        (true, std::mem::take(&mut self.held))
+    }
+}
+
 /// The program's log, and a guard that writes out what still waits when it is dropped.
 pub fn logger() -> (Logger, slog_async::AsyncGuard) {
     let decorator = slog_term::PlainDecorator::new(std::io::stderr());
@@ -15,3 +42,17 @@
         .build_with_guard();
     (Logger::root(drain.fuse(), o!()), guard)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_held_to_a_rate_and_counted() {
+        let mut gate = Gate::default();
+        let passed = (0..500).filter(|_| gate.pass(5_000.0).0).count();
+        assert_eq!(passed, A_SECOND as usize);
+        assert_eq!(gate.pass(6_000.0), (true, 480));
+        assert_eq!(gate.pass(6_001.0), (true, 0));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod probe;
+mod seats;
 mod session;
 mod watch;
 
@@ -13,6 +14,7 @@
 use crate::front::{Front, Input};
 use crate::xmpp::Realm;
 use crate::{operator, platform, xmpp};
+use seats::{FULL_MS, Seats};
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -21,7 +23,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
@@ -29,12 +31,10 @@
 /// Clients have left this long after SIGTERM; the process ends at the latest by the second.
 const LEAVE_MS: Millis = 2_400.0;
 const END_MS: Millis = 3_400.0;
-/// A client that is turned away for want of descriptors is to stay away for this long.
-const FULL_MS: Millis = 1_000.0;
 /// New connections still come for a while after SIGTERM, so that a node without any waits for them.
 const LINGER_MS: Millis = 600.0;
-/// Descriptors kept for anything but sessions; a session takes two.
-const SPARE_SOCKETS: usize = 64;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Without a word from discovery the node goes by the list it was given after this.
 const READY_MS: u64 = 2_000;
 
@@ -66,13 +66,14 @@
     clock: Clock,
     log: Logger,
     broker: RefCell<Broker>,
-    sessions: RefCell<HashMap<TransactionId, mpsc::UnboundedSender<Command>>>,
+    seats: RefCell<Seats>,
+    /// Holds the lines about bad input to a rate.
+    gate: RefCell<log::Gate>,
     probes: RefCell<HashMap<BackendId, mpsc::Sender<SocketAddr>>>,
     watch: Notify,
     watching: std::cell::Cell<bool>,
     /// Wakes the timer driver when an earlier time was set.
     timers: Notify,
-    most_sessions: usize,
     keepalive: Duration,
 }
 
@@ -103,10 +104,7 @@
     fn carry_out(self: &Rc<Self>, order: Order) {
         match order {
             Order::Front(id, command) => {
-                if let Some(session) = self.sessions.borrow().get(&id) {
-                    // A session that has just ended needs no command any more.
-                    let _ = session.send(command);
-                }
+                self.seats.borrow().send(id, command);
             }
             Order::Probe { member, dial } => probe::probe(self, member, &dial),
             Order::Watch(on) => {
@@ -126,6 +124,11 @@
             LogLine::Withheld(id, member) => {
                 warn!(self.log, "send withheld"; "transaction" => id.0, "member" => member)
             }
+            LogLine::Duplicate(id, name) => {
+                if self.may_log() {
+                    info!(self.log, "name in use"; "transaction" => id.0, "name" => &*name);
+                }
+            }
             LogLine::Member(member, phase) => {
                 info!(self.log, "pool member"; "member" => member, "phase" => ?phase)
             }
@@ -150,6 +153,32 @@
         }
     }
 
+    /// Clients without a first line were turned away so that others find room.
+    fn gave_way(&self, clients: u64) {
+        if clients > 0 {
+            self.broker.borrow_mut().crowded_out(clients);
+            if self.may_log() {
+                info!(self.log, "silent clients gave way"; "clients" => clients);
+            }
+        }
+    }
+
+    fn no_room(&self, id: TransactionId, peer: SocketAddr) {
+        self.broker.borrow_mut().no_room();
+        if self.may_log() {
+            warn!(self.log, "too many connections"; "transaction" => id.0, "client" => %peer);
+        }
+    }
+
+    /// Whether one more line about bad input may be written just now; says how many were held back before it.
+    fn may_log(&self) -> bool {
+        let (may, held) = self.gate.borrow_mut().pass(self.clock.now());
+        if held > 0 {
+            info!(self.log, "lines held back"; "lines" => held);
+        }
+        may
+    }
+
     fn print_counters(&self, when: &str) {
         let counters = self.broker.borrow().counters();
         info!(self.log, "counters"; "when" => when, "all" => counters.to_string());
@@ -171,11 +200,21 @@
 pub fn serve(config: Config, speaks: Speaks, log: Logger) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
-        let listener = TcpListener::bind(config.listen).await?;
+        let listener = listen(config.listen)?;
         run(config, speaks, listener, log).await
     }))
 }
 
+/// Guards against bursts of connections: with the usual backlog of 128 the kernel dropped what came on top, and
+/// those clients tried again a second later.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // The address is free again at once after a restart.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves on a listener that is there already.
 ///
 /// # Errors
@@ -187,12 +226,12 @@
         clock,
         log,
         broker: RefCell::new(broker),
-        sessions: RefCell::default(),
+        seats: RefCell::new(Seats::new(config.sockets)),
+        gate: RefCell::default(),
         probes: RefCell::default(),
         watch: Notify::new(),
         watching: std::cell::Cell::new(false),
         timers: Notify::new(),
-        most_sessions: (config.sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1),
         keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
     });
     let mut term = signal(SignalKind::terminate())?;
@@ -257,7 +296,7 @@
     while node.clock.now() < began + END_MS {
         tokio::time::sleep(Duration::from_millis(20)).await;
         let over = node.clock.now() > began + LINGER_MS;
-        if over && node.broker.borrow().transactions() == 0 && node.sessions.borrow().is_empty() {
+        if over && node.broker.borrow().transactions() == 0 && node.seats.borrow().is_empty() {
             break;
         }
     }
@@ -293,18 +332,21 @@
                 continue;
             }
         };
-        // Each session may hold two descriptors: beyond the limit the client is turned away at once.
-        if node.sessions.borrow().len() >= node.most_sessions {
-            warn!(node.log, "too many connections"; "client" => %peer);
-            let mut front = front(node.clock.now());
+        let id = node.broker.borrow_mut().next_id();
+        let (send, commands) = mpsc::unbounded_channel();
+        let (room, gave_way) = node.seats.borrow_mut().enter(id, send);
+        node.gave_way(gave_way);
+        let mut front = front(node.clock.now());
+        if !room {
+            // Not even silent ones are left to give way: the client is turned away at once.
+            node.no_room(id, peer);
             front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
             let _ = client.try_write(front.to_client());
             continue;
         }
-        let id = node.broker.borrow_mut().next_id();
-        let (send, commands) = mpsc::unbounded_channel();
-        node.sessions.borrow_mut().insert(id, send);
-        let front = front(node.clock.now());
         tokio::task::spawn_local(session::run(node.clone(), id, peer, client, front, commands));
+        // Those just taken in are read first: a client whose line has come must not pass for a silent one that
+        // has to give way to the next.
+        tokio::task::yield_now().await;
     }
 }
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -1,8 +1,9 @@
 //! One client connection: reads and writes for its front.
 
 use super::Node;
+use super::seats::FULL_MS;
 use crate::api::Millis;
-use crate::broker::{Command, TransactionId};
+use crate::broker::{Command, Said, TransactionId};
 use crate::front::{Front, Input, Step};
 use slog::info;
 use std::future::Future;
@@ -17,6 +18,8 @@
 
 /// The last bytes for a client are written within this.
 const FLUSH: Duration = Duration::from_millis(1_000);
+/// Pause between two reads of what a client still sends after its last word.
+const SINK_PAUSE: Duration = Duration::from_millis(5);
 
 type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
 
@@ -40,18 +43,28 @@
     peer: SocketAddr,
     client: TcpStream,
     mut front: Box<dyn Front>,
-    commands: UnboundedReceiver<Command>,
+    mut commands: UnboundedReceiver<Command>,
 ) {
     let _ = client.set_nodelay(true);
-    let end = drive(&node, id, peer, &client, front.as_mut(), commands).await;
+    let end = drive(&node, id, peer, &client, front.as_mut(), &mut commands).await;
     match end {
-        End::Finish => finish(client, std::mem::take(front.to_client())).await,
+        End::Finish => {
+            node.seats.borrow_mut().linger(id);
+            let mut last = std::mem::take(front.to_client());
+            // One that has given way already still hears why, as far as its socket takes it at once.
+            let _ = write(&client, &mut last);
+            tokio::select! {
+                () = finish(client, last) => {}
+                // It had to give way to others.
+                () = given_way(&mut commands) => {}
+            }
+        }
         End::Reset => {
             let _ = client.set_zero_linger();
         }
     }
     // Only now: a node that leaves must not end while a last word is still being written.
-    node.sessions.borrow_mut().remove(&id);
+    node.seats.borrow_mut().leave(id);
 }
 
 enum End {
@@ -65,12 +78,14 @@
     let last = async {
         client.write_all(&bytes).await?;
         client.shutdown().await?;
-        let mut sink = [0u8; 512];
+        let mut sink = [0u8; 4 * 1024];
         loop {
             client.readable().await?;
             match client.try_read(&mut sink) {
                 Ok(0) => return Ok(()),
-                Ok(_) => {}
+                // Guards against clients that send on at full speed: what is read of them costs time that
+                // others need.
+                Ok(_) => tokio::time::sleep(SINK_PAUSE).await,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Err::<(), io::Error>(error),
             }
@@ -79,13 +94,28 @@
     let _ = tokio::time::timeout(FLUSH, last).await;
 }
 
+/// Ends when the session's seat has been taken away.
+async fn given_way(commands: &mut UnboundedReceiver<Command>) {
+    while commands.recv().await.is_some() {}
+}
+
+/// Whether there is room for the transaction that the client asks for.
+fn seated(node: &Rc<Node>, id: TransactionId, peer: SocketAddr) -> bool {
+    let (room, gave_way) = node.seats.borrow_mut().open(id);
+    node.gave_way(gave_way);
+    if !room {
+        node.no_room(id, peer);
+    }
+    room
+}
+
 async fn drive(
     node: &Rc<Node>,
     id: TransactionId,
     peer: SocketAddr,
     client: &TcpStream,
     front: &mut dyn Front,
-    mut commands: UnboundedReceiver<Command>,
+    commands: &mut UnboundedReceiver<Command>,
 ) -> End {
     let mut server = Server::None;
     let (mut client_ended, mut end_client, mut client_shut) = (false, false, false);
@@ -93,7 +123,13 @@
     loop {
         while let Some(step) = front.step() {
             match step {
-                Step::Say(said) => node.hear(id, said),
+                Step::Say(said) => {
+                    if matches!(said, Said::Ask(_)) && !seated(node, id, peer) {
+                        front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
+                    } else {
+                        node.hear(id, said);
+                    }
+                }
                 Step::Dial(dial) => server = Server::Connecting(Box::pin(dial_to(dial))),
                 Step::DropServer => {
                     last_words(&server, front.to_server());
@@ -116,9 +152,10 @@
                     last_words(&server, front.to_server());
                     return End::Finish;
                 }
-                Step::Log { what, detail } => {
+                Step::Log { what, detail } if node.may_log() => {
                     info!(node.log, "{}", what; "transaction" => id.0, "client" => %peer, "detail" => detail);
                 }
+                Step::Log { .. } => {}
             }
         }
         // Writes are tried at once: most of the time the socket takes them.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,7 +8,7 @@
 pub use probe::Probe;
 
 use crate::api::*;
-use crate::broker::{Ask, Command, Said};
+use crate::broker::{Ask, Bad, Command, Said};
 use crate::config::Site;
 use crate::front::{BUFFER, Front, Input, Step};
 use crate::pool::name_hash;
@@ -20,7 +20,8 @@
 /// The longest line.
 pub const LINE: usize = 4 * 1024;
 /// A client that says nothing for this long gets its answer.
-const SILENT_MS: Millis = 10_000.0;
+/// Owed is an answer within 3 s of connecting, however slowly a first line drips in.
+const SILENT_MS: Millis = 2_000.0;
 /// `d` runs from when the client sent its line: kept back for the way here and for that of the answer. Guards
 /// against a process that is not run for a moment: with 15 ms one answer in a day came too late.
 const MARGIN_MS: Millis = 100.0;
@@ -80,6 +81,8 @@
     steps: VecDeque<Step>,
     due: Option<Millis>,
     client_ended: bool,
+    /// A readiness check was answered on it.
+    checked: bool,
 }
 
 impl Session {
@@ -96,6 +99,7 @@
             steps: VecDeque::new(),
             due: Some(now + SILENT_MS),
             client_ended: false,
+            checked: false,
         }
     }
 
@@ -116,16 +120,16 @@
         self.steps.push_back(step);
     }
 
-    fn malformed(&mut self, what: &'static str, detail: String) {
+    fn bad(&mut self, bad: Bad, what: &'static str, detail: String) {
         self.steps.push_back(Step::Log { what, detail });
-        self.say(Said::Malformed);
+        self.say(Said::Bad(bad));
         self.finish(&format!("ERR {what}"));
     }
 
     fn first_line(&mut self) {
         let Some(end) = self.from_client.iter().position(|b| *b == b'\n') else {
             if self.from_client.len() > LINE {
-                self.malformed("first line too long", format!("{} bytes", self.from_client.len()));
+                self.bad(Bad::TooLong, "first line too long", format!("{} bytes", self.from_client.len()));
             }
             return;
         };
@@ -135,14 +139,15 @@
             line.pop();
         }
         if line.len() + 2 > LINE {
-            return self.malformed("first line too long", format!("{} bytes", line.len()));
+            return self.bad(Bad::TooLong, "first line too long", format!("{} bytes", line.len()));
         }
-        let shown = || String::from_utf8_lossy(&line).chars().take(120).collect::<String>();
+        // Escaped: what is shown must not break the log's own lines.
+        let shown = || line.escape_ascii().to_string().chars().take(120).collect::<String>();
         let Ok(text) = std::str::from_utf8(&line) else {
-            return self.malformed("malformed first line", shown());
+            return self.bad(Bad::Malformed, "malformed first line", shown());
         };
         match parse::first(text) {
-            None => self.malformed("malformed first line", shown()),
+            None => self.bad(Bad::Malformed, "malformed first line", shown()),
             Some(First::Ping) => {
                 self.state = State::Ping;
                 self.due = None;
@@ -153,19 +158,23 @@
                     name.and_then(|name| names.iter().position(|known| known == name))
                 };
                 let Some(class) = place(&self.names.classes, open.field("c")) else {
-                    return self.malformed("unknown class", shown());
+                    return self.bad(Bad::Unknown, "unknown class", shown());
                 };
                 let tenant = match open.field("t") {
                     None if self.names.tenants.is_empty() => 0,
                     name => match place(&self.names.tenants, name) {
                         Some(tenant) => tenant,
-                        None => return self.malformed("unknown tenant", shown()),
+                        None => return self.bad(Bad::Unknown, "unknown tenant", shown()),
                     },
                 };
                 let Some(wait) = open.field("d").and_then(parse::millis) else {
-                    return self.malformed("malformed first line", shown());
+                    return self.bad(Bad::Malformed, "malformed first line", shown());
                 };
+                if !open.figures_hold() {
+                    return self.bad(Bad::Malformed, "malformed first line", shown());
+                }
                 let ask = Ask {
+                    name: Some(open.id.into()),
                     class: ClassId(class as u32),
                     tenant: TenantId(tenant as u32),
                     group: open.field("g").map(|name| AffinityKey(name_hash(name))),
@@ -189,6 +198,7 @@
             (Command::Ready, State::Ping) => {
                 self.to_client.extend_from_slice(b"PONG\r\n");
                 self.state = State::First;
+                self.checked = true;
                 self.due = Some(now + SILENT_MS);
                 self.first_line();
             }
@@ -344,7 +354,9 @@
         self.client_ended = true;
         match &self.state {
             State::First if self.from_client.is_empty() => self.over(Step::Finish),
-            State::First => self.malformed("early close", format!("{} bytes", self.from_client.len())),
+            State::First => {
+                self.bad(Bad::HalfClosed, "early close", format!("{} bytes", self.from_client.len()))
+            }
             State::Ping | State::Held | State::Opening { .. } => {
                 self.say(Said::Left);
                 self.steps.push_back(Step::DropServer);
@@ -434,8 +446,9 @@
                 }
                 self.due = None;
                 match &self.state {
+                    State::First if self.checked && self.from_client.is_empty() => self.over(Step::Finish),
                     State::First => {
-                        self.malformed("silent client", format!("{} bytes", self.from_client.len()))
+                        self.bad(Bad::Silent, "silent client", format!("{} bytes", self.from_client.len()))
                     }
                     State::Moving(_) => self.try_move(true),
                     State::Ending => self.over(Step::Finish),
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -7,14 +7,14 @@
 mod xml;
 
 use crate::api::*;
-use crate::broker::{Ask, Command, Failure, Said};
+use crate::broker::{Ask, Bad, Command, Failure, Said};
 use crate::front::{BUFFER, Front, Input, Step};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use xml::{Child, Cutter, Unit, XmlError, escape};
 
 /// A client that has sent no stream header after this is told so.
-const SILENT_MS: Millis = 10_000.0;
+const SILENT_MS: Millis = 2_000.0;
 /// What is kept back of a deadline for the answer's own way.
 const MARGIN_MS: Millis = 100.0;
 /// A side that was told of the stream's end has this long to end it too.
@@ -146,10 +146,10 @@
     }
 
     /// The client's own fault: the transaction is over, and so is what was begun for it.
-    fn bad_client(&mut self, condition: &'static str, what: &'static str) {
+    fn bad_client(&mut self, bad: Bad, condition: &'static str, what: &'static str) {
         self.steps.push_back(Step::Log { what, detail: condition.to_owned() });
         self.say(match self.state {
-            State::Header => Said::Malformed,
+            State::Header => Said::Bad(bad),
             _ => Said::Left,
         });
         self.error(condition, "");
@@ -162,7 +162,11 @@
             match self.client.next() {
                 Ok(Some(unit)) => self.client_unit(now, unit),
                 Ok(None) => return,
-                Err(error) => return self.bad_client(error.condition(), "bad stream"),
+                Err(error) => {
+                    let long = error == XmlError::PolicyViolation;
+                    let bad = if long { Bad::TooLong } else { Bad::Malformed };
+                    return self.bad_client(bad, error.condition(), "bad stream");
+                }
             }
         }
     }
@@ -170,7 +174,9 @@
     fn client_unit(&mut self, now: Millis, unit: Unit) {
         match (self.state, unit) {
             (State::Header, Unit::Header { attributes, bytes }) => self.asked(&attributes, bytes),
-            (State::Header, _) => self.bad_client(XmlError::BadFormat.condition(), "bad stream"),
+            (State::Header, _) => {
+                self.bad_client(Bad::Malformed, XmlError::BadFormat.condition(), "bad stream")
+            }
             (_, Unit::Stanza { name, .. }) if name == "starttls" => {
                 // There is no TLS: RFC 6120 5.4.2.2 answers so and ends the stream.
                 self.say(Said::Left);
@@ -197,7 +203,11 @@
                 if !self.committed {
                     self.opening.extend_from_slice(&bytes);
                     if self.opening.len() > self.realm.stanza_bytes {
-                        return self.bad_client("policy-violation", "too much before the answer");
+                        return self.bad_client(
+                            Bad::TooLong,
+                            "policy-violation",
+                            "too much before the answer",
+                        );
                     }
                 }
                 if state != State::Held {
@@ -213,13 +223,13 @@
         };
         let (to, from) = (value("to").to_owned(), value("from").to_owned());
         if value("xmlns:stream") != "http://etherx.jabber.org/streams" || value("xmlns") != "jabber:client" {
-            return self.bad_client("invalid-namespace", "bad stream header");
+            return self.bad_client(Bad::Malformed, "invalid-namespace", "bad stream header");
         }
         if !value("version").starts_with("1.") {
-            return self.bad_client("unsupported-version", "bad stream header");
+            return self.bad_client(Bad::Malformed, "unsupported-version", "bad stream header");
         }
         let Some(class) = self.realm.services.iter().position(|(name, _)| *name == to) else {
-            return self.bad_client("host-unknown", "unknown service");
+            return self.bad_client(Bad::Unknown, "host-unknown", "unknown service");
         };
         let domain = from.split('/').next().unwrap_or("").rsplit('@').next().unwrap_or("");
         let team = self.realm.teams.iter().position(|domains| domains.iter().any(|known| known == domain));
@@ -228,13 +238,14 @@
             (_, team) => team.map(|team| team as u32),
         };
         let Some(team) = team else {
-            return self.bad_client("invalid-from", "unknown team");
+            return self.bad_client(Bad::Unknown, "invalid-from", "unknown team");
         };
         self.to = to;
         self.opening = bytes;
         self.state = State::Held;
         self.due = None;
         self.say(Said::Ask(Ask {
+            name: None,
             class: ClassId(class as u32),
             tenant: TenantId(team),
             group: None,
@@ -396,7 +407,7 @@
                 match self.state {
                     State::Over => return,
                     State::Ending => {}
-                    State::Header => self.say(Said::Malformed),
+                    State::Header => self.say(Said::Bad(Bad::HalfClosed)),
                     _ => self.say(Said::Left),
                 }
                 self.close_flow();
@@ -419,7 +430,7 @@
             Input::Tick if self.due.is_some_and(|due| now >= due) => {
                 self.due = None;
                 match self.state {
-                    State::Header => self.bad_client("connection-timeout", "silent client"),
+                    State::Header => self.bad_client(Bad::Silent, "connection-timeout", "silent client"),
                     State::Ending => self.over(Step::Finish),
                     _ => {}
                 }
