Read the configuration anew on SIGHUP and ask discovery at its new address at once

Now: the file is read and checked whole, then swapped; the watch that runs ends, the whole list is asked of the new address at once and again each 100 ms for 3 s, connections are kept, a second SIGHUP in between is fine, and a bad file changes nothing and logs one line that names the field (serde_path_to_error: plain serde named only the line).

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -81,6 +81,10 @@
     lists,
     /// Calls to discovery that failed.
     discovery_failures,
+    /// Configurations or inventories that were read anew and taken.
+    reloads,
+    /// Those that were bad.
+    reloads_refused,
     /// Connections that stand now.
     open,
     /// Transactions that wait for their answer now.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -200,6 +200,18 @@
         self.end_negotiations(now);
     }
 
+    /// The configuration or the inventory was read anew, and taken or not.
+    pub fn reloaded(&mut self, taken: bool) {
+        let counter = if taken { &mut self.counters.reloads } else { &mut self.counters.reloads_refused };
+        *counter += 1;
+    }
+
+    /// Discovery is watched elsewhere from now on, whether or not it was watched until now.
+    pub fn rewatch(&mut self) {
+        self.watching = true;
+        self.orders.push_back(Order::Watch(true));
+    }
+
     /// A call to discovery failed, or the watch broke.
     pub fn discovery_failed(&mut self, now: Millis) {
         self.counters.discovery_failures += 1;
--- a/src/config.rs
+++ b/src/config.rs
@@ -27,7 +27,7 @@
 }
 
 /// The settings: those of the decision module and those that only the network code reads.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Site {
     /// The decision module's.
     pub settings: Settings,
@@ -89,7 +89,9 @@
 /// # Errors
 /// One message that names the field at fault.
 pub fn decode(json: &[u8]) -> Result<Config, ConfigError> {
-    let raw: Raw = serde_json::from_slice(json).map_err(|error| ConfigError(error.to_string()))?;
+    // Names the field, whatever is wrong with it.
+    let raw: Raw = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_slice(json))
+        .map_err(|error| ConfigError(error.to_string()))?;
     let site = site(&raw.settings);
     if site.classes.is_empty() {
         return Err(ConfigError("settings.profiles: no class".into()));
--- a/src/main.rs
+++ b/src/main.rs
@@ -59,7 +59,7 @@
         return usage("neither --config, --xmpp nor NODE_CONFIG names a file");
     };
     let read = match xmpp {
-        None => config::read(&file).map(|config| (config, Speaks::Platform)),
+        None => config::read(&file).map(|config| (config, Speaks::Platform(file.clone()))),
         Some(_) => {
             operator::read(&file).map(|found| (found.config, Speaks::Xmpp(found.realm, found.inventory)))
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod probe;
+mod reload;
 mod seats;
 mod session;
 mod watch;
@@ -13,14 +14,15 @@
 use crate::config::Config;
 use crate::front::{Front, Input};
 use crate::xmpp::Realm;
-use crate::{operator, platform, xmpp};
+use crate::{platform, xmpp};
+use reload::Source;
 use seats::{FULL_MS, Seats};
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket};
@@ -70,6 +72,10 @@
     /// Holds the lines about bad input to a rate.
     gate: RefCell<log::Gate>,
     probes: RefCell<HashMap<BackendId, mpsc::Sender<SocketAddr>>>,
+    /// Where discovery answers.
+    discovery: std::cell::Cell<Option<SocketAddr>>,
+    /// Discovery is to be asked at another address.
+    redirected: Notify,
     watch: Notify,
     watching: std::cell::Cell<bool>,
     /// Wakes the timer driver when an earlier time was set.
@@ -187,8 +193,8 @@
 
 /// Which front a node has.
 pub enum Speaks {
-    /// The platform's protocol.
-    Platform,
+    /// The platform's protocol, with the configuration that SIGHUP reads anew.
+    Platform(PathBuf),
     /// XMPP, with an inventory that SIGHUP reads anew.
     Xmpp(Realm, PathBuf),
 }
@@ -229,6 +235,8 @@
         seats: RefCell::new(Seats::new(config.sockets)),
         gate: RefCell::default(),
         probes: RefCell::default(),
+        discovery: std::cell::Cell::new(config.discovery),
+        redirected: Notify::new(),
         watch: Notify::new(),
         watching: std::cell::Cell::new(false),
         timers: Notify::new(),
@@ -243,19 +251,18 @@
     node.with(|_, _| ()); // what the known list brought about
     tokio::task::spawn_local(timers(node.clone()));
     match config.discovery {
-        Some(address) => {
-            drop(tokio::task::spawn_local(watch::watch(node.clone(), address, config.site.zones.clone())))
-        }
+        Some(_) => drop(tokio::task::spawn_local(watch::watch(node.clone(), config.site.zones.clone()))),
         None => node.with(|broker, _| broker.set_ready()),
     }
-    let mut inventory = None;
+    let mut source;
     let front: Box<dyn Fn(Millis) -> Box<dyn Front>> = match speaks {
-        Speaks::Platform => {
+        Speaks::Platform(file) => {
             let names = Rc::new(platform::Names::new(&config.site));
+            source = Source::Config(file, Box::new(config));
             Box::new(move |now| Box::new(platform::Session::new(now, names.clone())))
         }
         Speaks::Xmpp(realm, file) => {
-            inventory = Some(file);
+            source = Source::Inventory(file);
             let realm = Rc::new(realm);
             Box::new(move |now| Box::new(xmpp::Session::new(now, realm.clone())))
         }
@@ -269,7 +276,7 @@
     loop {
         tokio::select! {
             _ = usr1.recv() => node.print_counters("asked"),
-            _ = hangup.recv() => reread(&node, inventory.as_deref()),
+            _ = hangup.recv() => source.reload(&node),
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -279,15 +286,6 @@
     Ok(())
 }
 
-/// Reads the inventory anew; a bad one changes nothing.
-fn reread(node: &Rc<Node>, inventory: Option<&Path>) {
-    let Some(file) = inventory else { return };
-    match operator::pool(file) {
-        Ok(list) => node.with(|broker, now| broker.listed(now, list)),
-        Err(error) => warn!(node.log, "inventory not taken"; "error" => %error),
-    }
-}
-
 /// Goes on serving while clients are moved, and ends when none is left.
 async fn leave(node: &Rc<Node>) {
     let began = node.clock.now();
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -41,9 +41,10 @@
 impl Seats {
     /// Seats for a process that may hold so many descriptors.
     pub(super) fn new(sockets: usize) -> Self {
+        let (most, few) = Seats::sizes(sockets);
         Seats {
-            most: sockets.saturating_sub(BASE).max(4),
-            few: (sockets / PART).max(2),
+            most,
+            few,
             held: 0,
             seats: BTreeMap::new(),
             strangers: BTreeSet::new(),
@@ -51,6 +52,15 @@
         }
     }
 
+    /// The process may hold so many descriptors from now on; nobody who sits has to go for it.
+    pub(super) fn resize(&mut self, sockets: usize) {
+        (self.most, self.few) = Seats::sizes(sockets);
+    }
+
+    fn sizes(sockets: usize) -> (usize, usize) {
+        (sockets.saturating_sub(BASE).max(4), (sockets / PART).max(2))
+    }
+
     /// Hands a command to a client's session; one that has just ended needs none any more.
     pub(super) fn send(&self, id: TransactionId, command: Command) {
         if let Some((_, commands)) = self.seats.get(&id) {
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,7 +1,7 @@
 //! Watches discovery: one call after the other while the broker wants to be told.
 
 use super::Node;
-use crate::discovery::{Call, Reply, since};
+use crate::discovery::{Call, Reply, since, whole};
 use crate::pool::decode;
 use slog::warn;
 use std::io;
@@ -11,19 +11,37 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Discovery may keep a call this long; the first of a watch is answered at once.
-const WAIT_MS: u64 = 20_000;
+/// Discovery may keep a call this long; the first of a watch is answered at once. What it has to tell counts as
+/// told 2 s after that, whether it arrived or not: guards against a discovery that has gone silent.
+const WAIT_MS: u64 = 5_000;
 const FIRST_WAIT_MS: u64 = 1;
 /// An answer that is this late will not come.
-const LATE: Duration = Duration::from_millis(2_500);
+const LATE: Duration = Duration::from_millis(1_200);
+/// A new address may not answer yet: it is called again after a pause, until so long after it was named.
+const AGAIN: Duration = Duration::from_millis(100);
+const NAMED: Duration = Duration::from_millis(3_000);
 
-pub(super) async fn watch(node: Rc<Node>, address: SocketAddr, zones: Vec<String>) {
+pub(super) async fn watch(node: Rc<Node>, zones: Vec<String>) {
+    let mut fresh = None;
     loop {
         while !node.watching.get() {
             node.watch.notified().await;
         }
+        let Some(address) = node.discovery.get() else { return };
+        let error = tokio::select! {
+            biased;
+            // Another address: the call under way ends with its connection, and the new one is asked at once.
+            () = node.redirected.notified() => {
+                fresh = Some(tokio::time::Instant::now());
+                continue;
+            }
+            error = calls(&node, address, &zones, &mut fresh) => error,
+        };
+        if fresh.is_some_and(|named| named.elapsed() < NAMED) && node.watching.get() {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        }
         // The end of a watch is a failure to the module: it decides when to ask again.
-        let error = calls(&node, address, &zones).await;
         if node.watching.replace(false) {
             warn!(node.log, "discovery failed"; "error" => error);
             node.with(|broker, now| broker.discovery_failed(now));
@@ -31,16 +49,25 @@
     }
 }
 
-async fn calls(node: &Rc<Node>, address: SocketAddr, zones: &[String]) -> String {
+/// Calls until one fails. At an address that is fresh the whole list comes first: its changes may count from
+/// another version than those of the last address.
+async fn calls(
+    node: &Rc<Node>,
+    address: SocketAddr,
+    zones: &[String],
+    fresh: &mut Option<tokio::time::Instant>,
+) -> String {
     let authority = address.to_string();
     let mut stream = None;
     let mut first = true;
     while node.watching.get() {
-        let wait = if first { FIRST_WAIT_MS } else { WAIT_MS };
-        let seq = node.broker.borrow().pool_seq();
+        let wait = if first || fresh.is_some() { FIRST_WAIT_MS } else { WAIT_MS };
+        let request = match fresh {
+            Some(_) => whole(&authority),
+            None => since(&authority, node.broker.borrow().pool_seq(), wait),
+        };
         let limit = Duration::from_millis(wait) + LATE;
-        let call = call(&mut stream, address, since(&authority, seq, wait));
-        let reply = match tokio::time::timeout(limit, call).await {
+        let reply = match tokio::time::timeout(limit, call(&mut stream, address, request)).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "no answer".into(),
@@ -58,7 +85,7 @@
             // The last pool is kept.
             Err(error) => return format!("bad answer: {error}"),
         }
-        first = false;
+        first = fresh.take().is_some();
     }
     String::new()
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,8 +20,8 @@
     (listener, address)
 }
 
-/// Serves each `OPEN` and returns each line that follows.
-fn member() -> String {
+/// Serves each `OPEN` with this receipt and returns each line that follows.
+fn member(receipt: u32) -> String {
     let (listener, address) = listener();
     thread::spawn(move || {
         for stream in listener.incoming() {
@@ -29,7 +30,7 @@
                 for line in BufReader::new(stream.try_clone().unwrap()).lines() {
                     let Ok(line) = line else { return };
                     let answer = match line.split(' ').next() {
-                        Some("OPEN") => "UP 77".to_owned(),
+                        Some("OPEN") => format!("UP {receipt}"),
                         Some("STATS") => "PONG rif=1,lat_ms=2,x0=0.1".to_owned(),
                         _ => line,
                     };
@@ -53,7 +54,8 @@
                 let mut stream = stream.unwrap();
                 let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
                 while let Some(Ok(line)) = lines.next() {
-                    if line.starts_with("GET ") && line.contains("timeout_ms=1 ") {
+                    let whole = line.starts_with("GET /v1/endpoints HTTP");
+                    if whole || line.starts_with("GET ") && line.contains("timeout_ms=1 ") {
                         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
                         stream.write_all((head + &list).as_bytes()).unwrap();
                     }
@@ -68,6 +70,25 @@
     child: Child,
     address: String,
     file: PathBuf,
+    log: Receiver<String>,
+}
+
+impl Node {
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    fn logs(&self, wanted: &str) -> String {
+        let mut lines = self.log.iter();
+        lines.find(|line| line.contains(wanted)).unwrap_or_else(|| panic!("no line with {wanted}"))
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(&self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        BufReader::new(stream)
+    }
 }
 
 impl Drop for Node {
@@ -78,22 +99,32 @@
     }
 }
 
-fn start() -> Node {
-    let list = format!(
-        r#"{{"seq":1,"whole":true,"hosts":[{{"host":"s-1","dial":"{}","site":"a","health":"Ready"}}]}}"#,
-        member()
-    );
-    let config = format!(
-        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f",
+fn listed(members: &[(&str, &str)]) -> String {
+    let host = |(name, dial): &(&str, &str)| {
+        format!(r#"{{"host":"{name}","dial":"{dial}","site":"a","health":"Ready"}}"#)
+    };
+    let hosts: Vec<_> = members.iter().map(host).collect();
+    format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, hosts.join(","))
+}
+
+fn config(discovery: &str) -> String {
+    format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
             "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"seq":0,"whole":true,"hosts":[]}},
             "settings":{{"profiles":[{{"name":"chat","effect":"free"}}],"tenants":[{{"name":"acme"}}],
-            "zones":["a"],"discovery":"on_request","caps":{{"connectTimeoutMs":250}}}}}}"#,
-        discovery(list)
-    );
+            "zones":["a"],"discovery":"on_request","caps":{{"connectTimeoutMs":250}}}}}}"#
+    )
+}
+
+fn start() -> Node {
+    start_with(&discovery(listed(&[("s-1", &member(77))])))
+}
+
+fn start_with(discovery: &str) -> Node {
     static STARTED: AtomicU32 = AtomicU32::new(0);
     let number = STARTED.fetch_add(1, Ordering::Relaxed);
     let file = std::env::temp_dir().join(format!("hopmoor-node-{}-{number}.json", std::process::id()));
-    std::fs::write(&file, config).unwrap();
+    std::fs::write(&file, config(discovery)).unwrap();
     let mut child = hopmoor().arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let mut line = String::new();
@@ -103,8 +134,9 @@
     }
     let port = line.split("127.0.0.1:").nth(1).unwrap();
     let port: String = port.chars().take_while(char::is_ascii_digit).collect();
-    thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    Node { child, address: format!("127.0.0.1:{port}"), file }
+    let (send, receive) = channel();
+    thread::spawn(move || log.lines().map_while(Result::ok).all(|line| send.send(line).is_ok()));
+    Node { child, address: format!("127.0.0.1:{port}"), file, log: receive }
 }
 
 fn talk(stream: &mut BufReader<TcpStream>, line: &str) -> String {
@@ -117,11 +149,7 @@
 #[test]
 fn a_node_is_ready_serves_relays_moves_and_ends_well() {
     let mut node = start();
-    let connect = || {
-        let stream = TcpStream::connect(&node.address).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        BufReader::new(stream)
-    };
+    let connect = || node.connect();
     assert_eq!(talk(&mut connect(), "PING\r\n"), "PONG\r\n");
     let mut client = connect();
     assert_eq!(talk(&mut client, "OPEN 1 2 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n");
@@ -130,7 +158,7 @@
     assert!(talk(&mut bad, "OPEN 1 2 c=none,t=acme,d=5000\r\n").starts_with("ERR "));
     assert_eq!(bad.read(&mut [0; 9]).unwrap(), 0, "closed after its answer");
     let told = Instant::now();
-    assert!(Command::new("kill").arg("-TERM").arg(node.child.id().to_string()).status().unwrap().success());
+    node.signal("-TERM");
     let mut late = connect();
     assert_eq!(talk(&mut late, "OPEN 3 4 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n", "still serving");
     for client in [&mut client, &mut late] {
@@ -148,11 +176,7 @@
 #[test]
 fn bad_clients_are_turned_away_in_time_and_real_ones_served() {
     let node = start();
-    let connect = || {
-        let stream = TcpStream::connect(&node.address).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        stream
-    };
+    let connect = || node.connect().into_inner();
     assert_eq!(talk(&mut BufReader::new(connect()), "PING\r\n"), "PONG\r\n");
     let began = Instant::now();
     let silent: Vec<_> = (0..300).map(|_| connect()).collect();
@@ -193,6 +217,47 @@
     }
 }
 
+/// SIGHUP: another address of discovery is asked at once and its list taken, under load and twice in a row; a bad
+/// file changes nothing; connections are kept.
+#[test]
+fn a_new_configuration_is_taken_while_the_node_serves() {
+    let (first, second) = (member(77), member(88));
+    let old = discovery(listed(&[("s-1", &first)]));
+    let new = discovery(listed(&[("s-1", &first), ("s-2", &second)]));
+    let node = start_with(&old);
+    let mut kept = node.connect();
+    assert_eq!(talk(&mut kept, "OPEN 0 2 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n");
+    let replace = |text: &str| {
+        let whole = node.file.with_extension("new");
+        std::fs::write(&whole, text).unwrap();
+        std::fs::rename(&whole, &node.file).unwrap();
+        node.signal("-HUP");
+    };
+    replace(&config(&new).replace("sockets\":256", "sockets\":-1"));
+    assert!(node.logs("configuration not taken").contains("limits.sockets"));
+    replace(&config("nowhere"));
+    assert!(node.logs("configuration not taken").contains("discovery"));
+    replace(&config(&new).replace("\"n\"", "\"m\""));
+    replace(&config(&new));
+    let line = node.logs("configuration taken");
+    assert!(line.contains(&new), "{line}");
+    let told = Instant::now();
+    node.logs("member: s-2");
+    assert!(told.elapsed() < Duration::from_secs(1), "{:?}", told.elapsed());
+    let mut clients = Vec::new();
+    let receipts: Vec<_> = (1..20)
+        .map(|id| {
+            clients.push(node.connect());
+            talk(clients.last_mut().unwrap(), &format!("OPEN {id} 2 c=chat,t=acme,d=5000\r\n"))
+        })
+        .collect();
+    assert!(receipts.contains(&"UP 88\r\n".to_owned()), "{receipts:?}");
+    assert_eq!(talk(&mut kept, "tick\r\n"), "tick\r\n");
+    node.signal("-USR1");
+    let counters = node.logs("counters");
+    assert!(counters.contains("reloads_refused=2") && !counters.contains("reloads=0"), "{counters}");
+}
+
 fn run(args: &[&str]) -> (i32, Output) {
     let output = hopmoor().args(args).output().unwrap();
     (output.status.code().unwrap(), output)
