Cut attempts at silent members short, blame members for errors only when another serves

Seen: an attempt at a member that takes work and answers nothing got all of the client's time (src/logic.rs, admit), and judge() did nothing on a time-out, so the member went on getting its turns. Reports of the probes that the broker sends for itself were not passed on: the module went by older ones.

Now: an attempt gets 40% of the time left while another member is left to try; a time-out, of a probe too, leaves a member out until a probe is answered; errors count against a member only when another serves the same request, and three end it; every report reaches the module; a stream whose client has heard from its member keeps all its time. Tests: tests/trouble.rs and src/broker/tests.rs, each fails without its change.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -250,8 +250,9 @@
         self.counters.probes_answered += u64::from(outcome == Outcome::Ok);
         let load = report.and_then(|report| report.load_over_capacity);
         self.log(LogLine::Probed(self.pool.name(member), outcome, load, message_ms));
-        // The module hears of the probes that it asked for, as in the simulator.
-        if self.probes.remove(&member) == Some(true) {
+        // The module hears of the probes that it asked for, as in the simulator, and of what the others report: a
+        // report not passed on leaves it with an older one.
+        if self.probes.remove(&member) == Some(true) || outcome == Outcome::Ok {
             self.feed(now, Event::ProbeEnded { backend: member, outcome, report });
         }
         if let Some(message_ms) = message_ms {
@@ -571,9 +572,7 @@
                 Due::Connect(id, flow) if self.out(id, flow) == Some(false) => {
                     self.give_up(now, id, Outcome::Unreachable)
                 }
-                Due::Flow(id, flow) if self.out(id, flow).is_some() => {
-                    self.give_up(now, id, Outcome::TimedOut)
-                }
+                Due::Flow(id, flow) if self.out(id, flow).is_some() => self.flow_due(now, id, flow),
                 Due::Connect(..) | Due::Flow(..) => {}
                 Due::Answer(id) => self.overdue(now, id),
                 Due::Adopt(id) => {
@@ -604,6 +603,15 @@
         }
     }
 
+    /// A flow has had its time. Once the client has heard from its member no other can take over: what is left of
+    /// the client's time is theirs. Guards against streams cut off while their client negotiates.
+    fn flow_due(&mut self, now: Millis, id: TransactionId, flow: u32) {
+        match self.transactions.get(&id) {
+            Some(t) if t.committed && now < t.deadline => self.timers.set(t.deadline, Due::Flow(id, flow)),
+            _ => self.give_up(now, id, Outcome::TimedOut),
+        }
+    }
+
     fn give_up(&mut self, now: Millis, id: TransactionId, outcome: Outcome) {
         self.orders.push_back(Order::Front(id, Command::Abandon));
         self.flow_ended(now, id, outcome, None);
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -242,6 +242,35 @@
     assert_eq!(probes(&bench), 2);
 }
 
+/// The module gives an attempt a part of the client's time while there is another member to try.
+#[test]
+fn a_negotiation_that_the_client_has_heard_of_gets_all_its_time() {
+    let mut bench = Bench::new(&["a", "b"]);
+    let id = bench.open(Ask { negotiates: true, ..ask() });
+    bench.hear(id, Said::Connected);
+    bench.hear(id, Said::Committed);
+    bench.run(990.0);
+    assert_eq!(bench.answers(id), 0);
+    bench.hear(id, Said::Up);
+    assert_eq!(bench.broker.counters().served, 1);
+}
+
+/// Guards against a silent member that costs a client all its time: another is tried while there is some left.
+#[test]
+fn a_silent_member_is_given_up_for_another_in_time() {
+    let mut bench = Bench::new(&["a", "b"]);
+    let id = bench.open(ask());
+    bench.hear(id, Said::Connected);
+    bench.run(450.0);
+    let commands = bench.commands(id);
+    let members = opened(&commands);
+    assert!(members.len() == 2 && members[0] != members[1], "{commands:?}");
+    assert_eq!(commands[1], Command::Abandon);
+    bench.hear(id, Said::Connected);
+    bench.hear(id, Said::Up);
+    assert_eq!(bench.broker.counters().served, 1);
+}
+
 /// Guards against clients that take the name of another's open transaction: they went to six members each,
 /// were an error at all of them, and had each member left out for a while.
 #[test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,11 @@
 const FULL_PAUSE_MS: Millis = 200.0;
 /// Part of the allowed load that a cold backend may be sent: chance puts several gateways' sends together.
 const COLD_SHARE: f64 = 0.5;
+/// A request that so many backends answer with an error is itself at fault.
+const ERRORS_MOST: usize = 3;
+/// Part of the time left that one attempt may take, and the least such time.
+const WAIT_PART: f64 = 0.4;
+const WAIT_LEAST_MS: Millis = 250.0;
 /// Points of the result worth spending on probes, and most probes for a request where they cost nothing.
 const PROBE_SPEND: f64 = 0.005;
 const PROBES_MOST: f64 = 5.0;
@@ -363,8 +368,13 @@
         (entry.state, entry.backend, entry.sent) = (State::Out, Some(backend), now);
         entry.tries += 1;
         entry.tried.push(backend);
+        // One that takes work and answers nothing must not cost all the time that a client has, while there is
+        // another to try.
+        let mut servers = self.servers.iter();
+        let another = servers.any(|(id, server)| server.usable(now) && !entry.tried.contains(id));
+        let wait = if another { (left * WAIT_PART).max(WAIT_LEAST_MS).min(left) } else { left };
         self.occupy(id, 1);
-        out.push(Action::Attempt { id, backend, timeout_ms: left });
+        out.push(Action::Attempt { id, backend, timeout_ms: wait });
     }
 
     /// The paper slows what is open when over budget. A connection here can't be slowed: while a backend
@@ -414,10 +424,16 @@
         server.strained |= matches!(outcome, Full | Error | Reset | TimedOut);
         match outcome {
             Outcome::Ok => server.alive(now),
-            Outcome::Full | Outcome::Error => {
+            Error => server.lost(now, jitter),
+            Outcome::Full => {
                 server.avoid_until = server.avoid_until.max(now + FULL_PAUSE_MS * jitter);
             }
-            Outcome::Unreachable => server.lost(now, jitter),
+            Outcome::Unreachable => {
+                server.absent += 1;
+                server.lost(now, jitter)
+            }
+            // It takes work and answers nothing; a probe that is answered brings it back.
+            TimedOut => server.lost(now, jitter),
             Outcome::Reset if stood => {
                 server.resets += 1;
                 // Most of what it held broke at once: the process died, whatever the list still says.
@@ -485,24 +501,35 @@
     fn established(&mut self, now: Millis, id: RequestId) {
         let Some(entry) = self.entries.get_mut(&id).filter(|e| e.state == State::Out) else { return };
         entry.state = State::Open;
+        let erred = std::mem::take(&mut entry.erred);
         self.placed += 1.0; // attempts that fail say nothing of what a backend can take
         let backend = entry.backend.and_then(|b| self.servers.get_mut(&b));
         backend.into_iter().for_each(|server| server.alive(now));
+        // What one backend serves and another answers with an error is that other's fault.
+        erred.into_iter().for_each(|backend| self.judge(now, backend, Outcome::Error, false));
     }
 
     fn ended(&mut self, now: Millis, id: RequestId, at: BackendId, how: Outcome, over: bool, out: &mut Out) {
         let Some(entry) = self.entries.get(&id).filter(|e| e.state >= State::Out) else { return };
         let (tenant, left, stood) = (entry.request.tenant, entry.left, entry.state == State::Open);
         self.occupy(id, -1);
-        self.judge(now, at, how, stood);
+        // An error may be the request's own fault: nobody is blamed until another backend serves it.
+        let error = how == Outcome::Error && !stood;
+        if !error {
+            self.judge(now, at, how, stood);
+        }
         let info = self.servers.get(&at).map(|s| s.info);
         let Some(entry) = self.entries.get_mut(&id) else { return };
         entry.backend = None;
+        entry.erred.extend(error.then_some(at));
+        let hopeless = entry.erred.len() >= ERRORS_MOST;
         if !matches!(how, Outcome::Full | Outcome::Unreachable | Outcome::NotSent) {
             entry.may_have_run = entry.may_have_run.or(info.map(|info| (info, entry.sent)));
         }
         if over || left {
             self.entries.remove(&id);
+        } else if hopeless {
+            self.finish(now, id, out);
         } else {
             self.admit(now, id, out);
         }
@@ -582,10 +609,10 @@
 
     /// It answers. After an absence it may be a new process that the list has not named yet: it is cold.
     fn alive(&mut self, now: Millis) {
-        if self.fails >= 3 {
+        if self.absent >= 3 {
             self.cold_from = now;
         }
-        self.fails = 0;
+        (self.fails, self.absent) = (0, 0);
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,8 @@
     pub strained: bool,
     pub resets: u32,
     pub fails: u32,
+    /// Failed connects among them.
+    pub absent: u32,
     pub avoid_until: Millis,
     pub cold_from: Millis,
     /// Listed weight times the part warmed up.
@@ -75,6 +77,8 @@
     pub tries: u32,
     pub backend: Option<BackendId>,
     pub tried: Vec<BackendId>,
+    /// Where it was answered with an error.
+    pub erred: Vec<BackendId>,
     pub may_have_run: Option<(BackendInfo, Millis)>,
     pub sent: Millis,
     pub work: f64,
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -123,3 +123,47 @@
     let more = (100..130).filter(|id| sent_to(&relay.ask(request(*id))).is_some()).count();
     assert!((7..=9).contains(&more), "{more} more beside 8 open at 0.45 of load");
 }
+
+/// Guards against a silent backend that goes on getting its turns, and against one that never comes back.
+#[test]
+fn a_silent_backend_is_left_out_and_an_answered_probe_brings_it_back() {
+    let mut relay = Relay::with(Settings::default(), [backend(1), backend(2)]);
+    let mut id = 0;
+    let mut sent = |relay: &mut Relay, silent: Option<BackendId>| {
+        id += 1;
+        let mut to = sent_to(&relay.ask(request(id))).unwrap();
+        if Some(to) == silent {
+            to = sent_to(&relay.end(id, to, Outcome::TimedOut, false)).unwrap();
+        }
+        relay.stand(id);
+        to
+    };
+    let silent = BackendId(1);
+    assert!((0..20).all(|_| sent(&mut relay, Some(silent)) != silent));
+    let tried = relay.log.iter().filter(|(_, a)| sent_to(std::slice::from_ref(a)) == Some(silent)).count();
+    assert!(tried <= 2, "tried {tried} times");
+    relay.run(relay.now + 20_000.0);
+    relay.give(Event::ProbeEnded { backend: silent, outcome: Outcome::Ok, report: None });
+    assert!((0..20).any(|_| sent(&mut relay, None) == silent), "it never came back");
+}
+
+/// Guards against bad requests that have every backend left out: each is an error at all of them.
+#[test]
+fn an_error_counts_against_a_backend_only_if_another_serves_the_request() {
+    let mut relay = Relay::with(Settings::default(), (1..=5).map(backend));
+    let mut actions = relay.ask(request(1));
+    let mut tries = 0;
+    while let Some(to) = sent_to(&actions) {
+        tries += 1;
+        actions = relay.end(1, to, Outcome::Error, false);
+    }
+    assert!(refused(&actions) && tries == 3, "{tries} tries, then {actions:?}");
+    // Nobody is left out for it.
+    let to: std::collections::BTreeSet<_> = (10..15).map(|id| relay.open(request(id))).collect();
+    assert_eq!(to.len(), 5);
+    // One that errs where another serves is.
+    let wrong = sent_to(&relay.ask(request(20))).unwrap();
+    relay.end(20, wrong, Outcome::Error, false);
+    relay.stand(20);
+    assert!((30..40).all(|id| relay.open(request(id)) != wrong));
+}
