--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -112,7 +112,7 @@
 pub enum Order {
     /// Hand this to the transaction's front.
     Front(TransactionId, Command),
-    /// Probe a member and report with [`Broker::probed`].
+    /// Probe a member and report with [`super::Broker::probed`].
     Probe {
         /// Its number.
         member: BackendId,
