Fit two comments of the decision module within 110 columns

Seen: the check of the module's width stopped at src/logic.rs lines 196 (113 columns) and 376 (111); rustfmt does not wrap comments, and clippy, docs and tests do not look at widths. Nothing but the two comments changes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -193,7 +193,7 @@
         if let Some((mean, fresh)) = told {
             let own = open.max(self.settings.quota_part() / 4.0);
             let claim = own / weight * TARGET / mean.max(0.05);
-            // Clients of a gateway that has ended come all at once: without trouble they need not wait for long.
+            // Clients of a gateway that has ended come all at once: without trouble they need not wait long.
             let up = if self.calm > CALM { CLAIM_UP_CALM } else { CLAIM_UP };
             let step = if claim > self.per_weight { up } else { CLAIM_DOWN };
             self.per_weight += (claim - self.per_weight) * step * fresh;
@@ -373,8 +373,8 @@
         (entry.state, entry.backend, entry.sent) = (State::Out, Some(backend), now);
         entry.tries += 1;
         entry.tried.push(backend);
-        // One that takes work and answers nothing must not cost all the time that a client has, while there is
-        // another to try.
+        // One that takes work and answers nothing must not cost all the time that a client has, while there
+        // is another to try.
         let mut servers = self.servers.iter();
         let another = servers.any(|(id, server)| server.usable(now) && !entry.tried.contains(id));
         let wait = if another { (left * WAIT_PART).max(WAIT_LEAST_MS).min(left) } else { left };
