Keep groups together under the mean load, hold the limit while reports tell of room

Also: turns shrink as a weight grows, reports count what was placed since, a trouble fades over ten seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,9 +37,21 @@
 /// A report counts for 1/e of a fresh one after this; a note on message delay is void after the second.
 const REPORT_FADE_MS: Millis = 5_000.0;
 const NOTE_LASTS_MS: Millis = 2_500.0;
-/// Group and zone preference act among backends so many turns early and under this load over capacity.
-const NEAR_TURNS: f64 = 2.0;
+/// Group and zone preference act among backends so many turns early (fewer while there is trouble), under
+/// this load over capacity, and little over the mean: a group must not fill one backend beside empty ones.
+const NEAR_TURNS: f64 = 8.0;
+const NEAR_TURNS_TROUBLED: f64 = 2.0;
+const UNTROUBLED: f64 = 0.9;
 const BUSY: f64 = 0.85;
+const OVER_MEAN: f64 = 0.1;
+/// Relief goes down to this load: what has piled up must be worked off as well.
+const RELIEVED: f64 = 0.75;
+/// While the mean load that reports tell is under this, trouble is no shortage: the limit is not lowered.
+const ROOMY: f64 = 0.65;
+/// Part by which a trouble counts less each interval: what troubles a backend comes and goes.
+const PEAK_FADE: f64 = 0.06;
+/// Most load over capacity that one connection is taken to bring.
+const UNIT_MOST: f64 = 0.1;
 /// A loaded backend keeps this part of its weight: so it still shows whether it has recovered.
 const LEAST_ROOM: f64 = 0.05;
 /// First pause after failed connects or lost connections (it doubles), and after a refusal or an error.
@@ -178,7 +190,10 @@
             server.resets = 0;
             // A backend that holds none of this gateway's connections can't show trouble: that is no health.
             let load = server.told(now).map_or(0.0, |(load, _)| load);
-            let strained = std::mem::take(&mut server.strained) || load > BUSY;
+            let troubled = std::mem::take(&mut server.strained);
+            let peak = server.peak * (1.0 - PEAK_FADE);
+            server.peak = if troubled { peak.max(load).max(1.0) } else { peak };
+            let strained = troubled || load > BUSY;
             if strained || server.open > 0 {
                 heard += server.capacity;
             }
@@ -193,16 +208,18 @@
         if let Some((mean, fresh)) = told {
             let own = open.max(self.settings.quota_part() / 4.0);
             let claim = own / weight * TARGET / mean.max(0.05);
+            // Clients that broke off and come again are no loss of capacity.
+            let down = if mean < ROOMY { 0.0 } else { CLAIM_DOWN };
             // Clients of a gateway that has ended come all at once: without trouble they need not wait long.
             let up = if self.calm > CALM { CLAIM_UP_CALM } else { CLAIM_UP };
-            let step = if claim > self.per_weight { up } else { CLAIM_DOWN };
+            let step = if claim > self.per_weight { up } else { down };
             self.per_weight += (claim - self.per_weight) * step * fresh;
         } else {
             self.per_weight *= 1.0 + CREEP * INTERVAL_MS / 1_000.0;
         }
         // Trouble on many backends is a shortage; on a few it is for the weights to answer.
         self.calm = 1.0 - trouble / heard;
-        if self.calm < 1.0 - SPREAD {
+        if self.calm < 1.0 - SPREAD && self.mean_load.is_none_or(|mean| mean > ROOMY) {
             let back = if self.calm < SHORT {
                 TARGET * trouble / pressure
             } else {
@@ -311,20 +328,33 @@
                 (None, None) if work > 0.0 => 1.0 - server.work / server.size() / work / 2.0,
                 (None, None) => 1.0,
             };
+            let room = room.min(1.0 - server.peak);
             let warmth = warmth_at(now - server.cold_from, &self.settings);
             server.capacity = server.size() * warmth;
-            server.weight = (server.capacity * room.max(LEAST_ROOM)).max(1e-9);
+            server.unit = (TARGET / (self.per_weight * server.capacity)).clamp(0.0, UNIT_MOST);
+            let weight = (server.capacity * room.max(LEAST_ROOM)).max(1e-9);
+            // A turn taken at a small weight must not keep a backend out long after it has recovered.
+            if server.weight > 0.0 {
+                let ahead = (server.turn - self.turn).max(0.0);
+                server.turn = self.turn + ahead * (server.weight / weight).min(1.0);
+            }
+            server.weight = weight;
         }
     }
 
     /// Weighted round robin by virtual time: the smallest turn is next and each turn lasts 1/weight. Among
-    /// backends at most a turn early, the group's own place and the own zone come first.
+    /// backends some turns early, those that hold some of the group come first, then the own zone, then the
+    /// group's own place.
     fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
         let entry = self.entries.get(&id)?;
         let effect = self.settings.class(entry.request.class).effect;
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
+        let kin = self.kin(entry.request.group);
         let gate = self.intake * self.settings.fall_ms;
+        // Where there is trouble, turns are kept closely.
+        let turns = if self.calm > UNTROUBLED { NEAR_TURNS } else { NEAR_TURNS_TROUBLED };
+        let busy = self.mean_load.map_or(BUSY, |mean| BUSY.min(mean + OVER_MEAN));
         let mut first = f64::INFINITY;
         for careful in [true, false] {
             for (backend, server) in &mut self.servers {
@@ -341,13 +371,14 @@
             }
         }
         let ready = self.servers.iter_mut().filter(|(_, server)| server.ready);
-        let (&backend, server) = ready.min_by_key(|(backend, server)| {
+        let (&backend, server) = ready.min_by_key(|&(&backend, ref server)| {
             let turn = server.turn.max(self.turn);
-            let near = (turn - first) * server.weight < NEAR_TURNS
-                && server.told(now).is_none_or(|(x0, _)| x0 < BUSY);
+            let near = (turn - first) * server.weight < turns
+                && server.told(now).is_none_or(|(x0, _)| x0.max(server.peak) < busy);
             let place = affinity.map_or(0, |key| mix(key.0 ^ backend.0));
             let far = server.info.zone != self.settings.zone;
-            (if near { (false, place, far) } else { (true, 0, false) }, (turn * 1e6) as u64)
+            let rank = (false, !kin.contains(&backend), far, place);
+            (if near { rank } else { (true, false, false, 0) }, (turn * 1e6) as u64)
         })?;
         self.turn = first;
         server.turn = server.turn.max(first) + 1.0 / server.weight;
@@ -394,7 +425,7 @@
             let told = if self.settings.tells_delay { server.noted(now) } else { server.told(now) };
             let Some((x0, fresh)) = told else { continue };
             if x0 > 1.0 && fresh > 0.6 && now - server.moved_at > NOTE_LASTS_MS && server.open > 0 {
-                let part = (x0 - TARGET) / x0 * part * f64::from(server.open);
+                let part = (x0 - RELIEVED) / x0 * part * f64::from(server.open);
                 most.insert(backend, (part + draw(&mut self.rng)).floor() as u32);
                 server.moved_at = now;
             }
@@ -580,7 +611,10 @@
     /// Load over capacity as far as reports and notes tell, and how far that can still be believed.
     fn told(&self, now: Millis) -> Option<(f64, f64)> {
         let note = self.noted(now);
-        let report = self.report.map(|(x0, at)| (x0, (-(now - at) / REPORT_FADE_MS).exp()));
+        // What was placed or has ended since the report counts.
+        let since = (f64::from(self.open) - f64::from(self.open_then)) * self.unit;
+        let report =
+            self.report.map(|(x0, at)| ((x0 + since).max(0.0), (-(now - at) / REPORT_FADE_MS).exp()));
         match (note, report) {
             (Some(note), Some(report)) => Some((note.0.max(report.0), 1.0)),
             (note, report) => note.or(report),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway keeps in mind: plain records and their bookkeeping. No decisions; those are in `logic.rs`.
 use crate::api::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Where decisions are written.
 pub type Out = Vec<Action>;
@@ -40,8 +40,13 @@
     pub open: u32,
     pub work: f64,
     pub report: Option<(f64, Millis)>,
+    /// Connections of this gateway there when the report came, and load over capacity that one more brings.
+    pub open_then: u32,
+    pub unit: f64,
     pub delay: Option<(f64, Millis)>,
     pub strained: bool,
+    /// Load over capacity at its last trouble, as far as it still counts.
+    pub peak: f64,
     pub resets: u32,
     pub fails: u32,
     /// Failed connects among them.
@@ -123,7 +128,7 @@
     pub(crate) fn reported(&mut self, now: Millis, backend: BackendId, report: Option<Report>) {
         let x0 = report.and_then(|r| r.load_over_capacity).filter(|x0| x0.is_finite() && *x0 >= 0.0);
         if let (Some(server), Some(x0)) = (self.servers.get_mut(&backend), x0) {
-            server.report = Some((x0, now));
+            (server.report, server.open_then) = (Some((x0, now)), server.open);
         }
     }
 
@@ -181,6 +186,12 @@
         round.find(|(_, server)| server.info.phase == Phase::Serving).map(|(&id, _)| id)
     }
 
+    /// Backends that hold connections of this group, or are sent one: each such pays for the whole group.
+    pub(crate) fn kin(&self, group: Option<AffinityKey>) -> BTreeSet<BackendId> {
+        let of_group = |e: &&Entry| e.state >= State::Out && group.is_some() && e.request.group == group;
+        self.entries.values().filter(of_group).filter_map(|e| e.backend).collect()
+    }
+
     /// Open connections on the named backends.
     pub(crate) fn open_on(&self, named: &BTreeMap<BackendId, u32>) -> Vec<(RequestId, &Entry, BackendId)> {
         let open = self.entries.iter().filter(|(_, e)| e.state == State::Open && !e.left);
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -196,3 +196,69 @@
     let sent = (100..140).filter(|id| relay.tries.contains_key(&RequestId(*id))).count();
     assert!(sent >= 36, "{sent} of 40 were sent");
 }
+
+fn tell(relay: &mut Relay, loads: &[f64]) {
+    for (at, load) in loads.iter().enumerate() {
+        let report = Some(Report { load_over_capacity: Some(*load) });
+        relay.give(Event::ProbeEnded { backend: BackendId(at as u64 + 1), outcome: Outcome::Ok, report });
+    }
+}
+
+/// Two members of five ran hot for ten seconds while the others stood at a third; the limit was lowered to what
+/// was open, and clients were refused after their whole time.
+#[test]
+fn trouble_on_some_beside_room_elsewhere_does_not_lower_the_limit() {
+    let mut relay = Relay::with(Settings { reports: true, ..Settings::default() }, (1..=5).map(backend));
+    for id in 1..=30 {
+        relay.open(request(id));
+    }
+    for _ in 0..20 {
+        tell(&mut relay, &[1.0, 0.95, 0.3, 0.3, 0.3]);
+        relay.run(relay.now + 500.0);
+    }
+    let sent = (100..110).filter(|id| sent_to(&relay.ask(request(*id))).is_some()).count();
+    assert_eq!(sent, 10, "room for them stands in the reports");
+    relay.run(relay.now + 500.0);
+    for _ in 0..20 {
+        tell(&mut relay, &[1.0, 0.95, 0.9, 0.9, 0.9]);
+        relay.run(relay.now + 500.0);
+    }
+    assert!(sent_to(&relay.ask(request(200))).is_none(), "a shortage does lower it");
+}
+
+/// Each member that holds any of a group pays for the whole of it: on a calm day every group was on every member.
+#[test]
+fn a_group_stays_where_it_is_while_that_backend_is_no_fuller_than_the_others() {
+    let grouped = |id, group| Request { group: Some(AffinityKey(group)), ..request(id) };
+    for group in 0..8 {
+        let mut relay = Relay::with(Settings { reports: true, ..Settings::default() }, (1..=5).map(backend));
+        let holder = BackendId(1 + group % 5);
+        relay.give(Event::Adopted { request: grouped(1, group), backend: holder });
+        tell(&mut relay, &[0.3; 5]);
+        relay.run(600.0);
+        assert_eq!(relay.open(grouped(2, group)), holder, "group {group}");
+        let mut loads = [0.3; 5];
+        loads[holder.0 as usize - 1] = 0.6;
+        tell(&mut relay, &loads);
+        relay.run(1_200.0);
+        assert_ne!(
+            relay.open(grouped(3, group)),
+            holder,
+            "group {group} must not fill one beside empty ones"
+        );
+    }
+}
+
+/// A member held out by a long turn, taken when it was full, stood at 0.07 of load for twenty seconds.
+#[test]
+fn a_backend_that_has_recovered_gets_its_turns_back() {
+    let mut relay = Relay::with(Settings { reports: true, ..Settings::default() }, (1..=2).map(backend));
+    tell(&mut relay, &[0.98, 0.3]);
+    relay.run(600.0);
+    let last = (0..40).find(|id| relay.open(request(*id)) == BackendId(1));
+    assert!(last.is_some(), "a loaded one still gets a turn now and then");
+    tell(&mut relay, &[0.1, 0.3]);
+    relay.run(relay.now + 500.0);
+    let got = (100..110).filter(|id| relay.open(request(*id)) == BackendId(1)).count();
+    assert!(got >= 4, "{got} of 10 after it has recovered");
+}
