--- a/src/logic.rs
+++ b/src/logic.rs
@@ -430,7 +430,12 @@
                 server.moved_at = now;
             }
         }
-        let value = |e: &Entry| self.settings.class(e.request.class).worth / e.work.max(1.0);
+        // With room elsewhere those gain most by a move that are worth most, and the heavy ones relieve most.
+        let roomy = self.mean_load.is_some_and(|mean| mean < ROOMY);
+        let value = |e: &Entry| {
+            let (worth, work) = (self.settings.class(e.request.class).worth, e.work.max(1.0));
+            if roomy { -worth * work } else { worth / work }
+        };
         let mut movable: Vec<_> =
             self.open_on(&most).into_iter().map(|(id, e, b)| (value(e), id, b)).collect();
         movable.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -262,3 +262,25 @@
     let got = (100..110).filter(|id| relay.open(request(*id)) == BackendId(1)).count();
     assert!(got >= 4, "{got} of 10 after it has recovered");
 }
+
+/// A member at 1.3 of its capacity served nobody for six seconds: the lightest clients were moved, and the booking
+/// screens worth most stayed where nothing was answered.
+#[test]
+fn with_room_elsewhere_relief_moves_those_worth_most() {
+    let class = |worth| Class { worth, message_aim_ms: 50.0, ..Class::default() };
+    let settings = Settings { classes: vec![class(1.0), class(5.0)], reports: true, ..Settings::default() };
+    for (others, first) in [(0.3, 1), (0.9, 0)] {
+        let mut relay = Relay::with(settings.clone(), (1..=5).map(backend));
+        for id in 0..10 {
+            let request = Request { class: ClassId(id as u32 % 2), ..request(id) };
+            relay.give(Event::Adopted { request, backend: BackendId(1) });
+        }
+        for id in 10..14 {
+            relay.give(Event::Adopted { request: request(id), backend: BackendId(id - 8) });
+        }
+        tell(&mut relay, &[1.3, others, others, others, others]);
+        let moved = moves(&relay.run(600.0));
+        assert!((3..=5).contains(&moved.len()), "{moved:?}");
+        assert!(moved.iter().all(|id| id.0 % 2 == first), "{moved:?} beside {others}");
+    }
+}
