Add the flight recorder: typed records, checksummed segments, off by default

Need: after an incident the operators have only scattered log lines; a node that crashes leaves nothing that can be read by a program. Change: a workspace; crates/record holds the records, their framing (CRC-32C, postcard), segments packed by zstd, retention by bytes and age, a reader that keeps every whole record before damage, a tail and a merge of nodes. The broker takes records down in one place (broker/tape.rs) and is split into flows and requests; a thread behind a bounded queue writes them. 'records' in the operator's file switches it on; the platform's run line has it off.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -10,10 +10,19 @@
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
         pub struct Counters { $($(#[doc = $doc])* pub $name: u64),* }
 
+        impl Counters {
+            /// What they are called, in order.
+            pub const NAMES: &'static [&'static str] = &[$(stringify!($name)),*];
+
+            /// Their values, in the order of their names.
+            pub fn values(&self) -> [u64; Counters::NAMES.len()] {
+                [$(self.$name),*]
+            }
+        }
+
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                let pairs = [$((stringify!($name), self.$name)),*];
-                for (at, (name, value)) in pairs.into_iter().enumerate() {
+                for (at, (name, value)) in Counters::NAMES.iter().zip(self.values()).enumerate() {
                     write!(f, "{}{name}={value}", if at == 0 { "" } else { " " })?;
                 }
                 Ok(())
@@ -85,6 +94,8 @@
     reloads,
     /// Those that were bad.
     reloads_refused,
+    /// Records lost, where records are kept.
+    records_lost,
     /// Connections that stand now.
     open,
     /// Transactions that wait for their answer now.
--- a/src/broker/delay.rs
+++ b/src/broker/delay.rs
@@ -37,6 +37,11 @@
         self.members.retain(|member, _| listed(*member));
     }
 
+    /// How long a message takes there, as the member reported last.
+    pub(super) fn last(&self, member: BackendId) -> Option<Millis> {
+        Some(self.members.get(&member)?.reported?.0)
+    }
+
     /// Whether a member should be asked again: each second while its messages take long enough to matter, else
     /// every other second. Probes cost their price at every member, loaded or not.
     pub(super) fn asks(&self, now: Millis, member: BackendId) -> bool {
--- /dev/null
+++ b/src/broker/flows.rs
@@ -0,0 +1,137 @@
+//! Server-side flows: one out at most, six in all, none to a member that drains or is gone.
+
+use super::counters::count_outcome;
+use super::*;
+
+impl Broker {
+    pub(super) fn attempt(&mut self, now: Millis, id: TransactionId, member: BackendId, timeout_ms: Millis) {
+        let Some(t) = self.transactions.get(&id).filter(|t| t.stage == Stage::Held) else { return };
+        if t.flows >= self.most_flows || timeout_ms <= 0.0 || !self.pool.serving(member) {
+            let name = self.pool.name(member);
+            let (attempt, outcome) = (t.flows, Outcome::NotSent);
+            self.tape.note(now, || {
+                let what = format!("attempt of transaction {} at {name} withheld", id.0);
+                record::Fault { what }.into()
+            });
+            self.log(LogLine::Withheld(id, name));
+            let ended = Event::Ended { id, attempt, backend: member, outcome, closed: false, report: None };
+            return self.events.push_back(ended);
+        }
+        let left = t.deadline - now;
+        self.open(now, id, member, timeout_ms.min(left));
+    }
+
+    pub(super) fn open(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
+        let Some(dial) = self.pool.dial(member) else { return };
+        let name = self.pool.name(member);
+        let Some(t) = self.transactions.get_mut(&id) else { return };
+        t.stage = Stage::Out { connected: false };
+        t.flows += 1;
+        t.sent = now;
+        t.member = Some(member);
+        t.member_name.clone_from(&name);
+        self.counters.flows += 1;
+        self.timers.set(now + self.connect_ms, Due::Connect(id, t.flows));
+        self.timers.set(now + wait_ms, Due::Flow(id, t.flows));
+        self.orders.push_back(Order::Front(id, Command::Open { dial, member: name, wait_ms }));
+    }
+
+    pub(super) fn flow_ended(
+        &mut self,
+        now: Millis,
+        id: TransactionId,
+        outcome: Outcome,
+        report: Option<Report>,
+    ) {
+        if let Some(t) = self.transactions.get(&id).filter(|t| t.stage != Stage::Held) {
+            let stood = t.stage == Stage::Up;
+            // A connection that a member sends away is told of as such, so this one its client has ended.
+            self.note_flow(now, id, outcome, stood, stood && outcome == Outcome::Cancelled);
+            self.flow_over(now, id, outcome, report);
+        }
+    }
+
+    /// A flow has ended, and the record knows how.
+    pub(super) fn flow_over(
+        &mut self,
+        now: Millis,
+        id: TransactionId,
+        outcome: Outcome,
+        report: Option<Report>,
+    ) {
+        let Some(t) = self.transactions.get_mut(&id).filter(|t| t.stage != Stage::Held) else { return };
+        let Some(member) = t.member else { return };
+        let stood = t.stage == Stage::Up;
+        let attempt = t.flows.saturating_sub(1);
+        count_outcome(&mut self.counters, outcome, stood);
+        if outcome != Outcome::Ok && outcome != Outcome::Cancelled {
+            let (member, took_ms) = (t.member_name.clone(), now - t.sent);
+            let line = LogLine::Flow { id, member, outcome, took_ms, stood };
+            self.orders.push_back(Order::Log(line));
+        }
+        t.stage = Stage::Held;
+        if t.adopted && !t.told {
+            // The module has not heard of it: an adopted connection goes to its member or nowhere.
+            if t.flows < self.most_flows && now + ADOPT_PAUSE_MS < t.deadline {
+                self.timers.set(now + ADOPT_PAUSE_MS, Due::Adopt(id));
+            } else {
+                self.answer(now, id, Command::Fail(Failure::NotAdopted));
+            }
+            return;
+        }
+        // What the member sent has reached the client, so that no other member can take over.
+        let closed = stood || outcome == Outcome::Ok || t.committed;
+        if closed {
+            if t.committed && !stood && outcome != Outcome::Ok {
+                self.answer(now, id, Command::Fail(Failure::Broken));
+            }
+            if let Some(t) = self.forget(id).filter(|_| !stood && outcome == Outcome::Ok) {
+                self.note_answer(now, &t, record::Answer::Served);
+            }
+        }
+        self.feed(now, Event::Ended { id, attempt, backend: member, outcome, closed, report });
+    }
+
+    /// A stream that is being negotiated with a member that may take nothing new any more ends there: each
+    /// further step of the negotiation would be new work.
+    pub(super) fn end_negotiations(&mut self, now: Millis) {
+        let doomed = |t: &&mut Transaction| {
+            let serving = t.member.is_some_and(|member| self.pool.serving(member));
+            t.negotiates && matches!(t.stage, Stage::Out { .. }) && !serving
+        };
+        let ids: Vec<_> =
+            self.transactions.values_mut().filter(doomed).map(|t| (t.request.id, t.committed)).collect();
+        for (id, committed) in ids {
+            if committed {
+                self.send_away(now, id, record::Reason::Negotiation);
+            } else {
+                self.orders.push_back(Order::Front(id, Command::Abandon));
+                self.flow_ended(now, id, Outcome::Cancelled, None);
+            }
+        }
+    }
+
+    /// Whether this flow of the transaction is out, and if so whether it has a connection.
+    pub(super) fn out(&self, id: TransactionId, flow: u32) -> Option<bool> {
+        match self.transactions.get(&id) {
+            Some(Transaction { stage: Stage::Out { connected }, flows, .. }) if *flows == flow => {
+                Some(*connected)
+            }
+            _ => None,
+        }
+    }
+
+    /// A flow has had its time. Once the client has heard from its member no other can take over: what is left of
+    /// the client's time is theirs. Guards against streams cut off while their client negotiates.
+    pub(super) fn flow_due(&mut self, now: Millis, id: TransactionId, flow: u32) {
+        match self.transactions.get(&id) {
+            Some(t) if t.committed && now < t.deadline => self.timers.set(t.deadline, Due::Flow(id, flow)),
+            _ => self.give_up(now, id, Outcome::TimedOut),
+        }
+    }
+
+    pub(super) fn give_up(&mut self, now: Millis, id: TransactionId, outcome: Outcome) {
+        self.orders.push_back(Order::Front(id, Command::Abandon));
+        self.flow_ended(now, id, outcome, None);
+    }
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -7,22 +7,28 @@
 
 mod counters;
 mod delay;
+mod flows;
 mod moves;
 mod pool;
+mod requests;
+mod tape;
 mod timers;
 mod words;
 
 pub use counters::Counters;
+pub use tape::{Taken, site as recorded_site};
 pub use words::*;
 
 use crate::api::*;
 use crate::config::Site;
 use crate::pool::PoolList;
-use counters::{count_bad, count_outcome};
+use counters::count_bad;
 use delay::Delays;
+use hopmoor_record as record;
 use moves::Spread;
 use pool::Pool;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tape::Tape;
 use timers::Timers;
 
 /// Pause before an adopted connection that its member did not take is tried there again.
@@ -69,6 +75,7 @@
     Measure,
     Leave,
     Drain(BackendId, Spread),
+    Look,
 }
 
 /// The core of a node.
@@ -93,6 +100,7 @@
     leaving: Option<Spread>,
     orders: VecDeque<Order>,
     counters: Counters,
+    tape: Tape,
 }
 
 impl Broker {
@@ -119,6 +127,7 @@
             leaving: None,
             orders: VecDeque::new(),
             counters: Counters::default(),
+            tape: Tape::default(),
         };
         broker.list(now, known, ListScope::Stale);
         if broker.delays.wanted() {
@@ -192,6 +201,7 @@
         let (entries, changed) = self.pool.merge(list, scope != ListScope::Patch);
         for (id, name, phase) in changed {
             self.log(LogLine::Member(name, phase));
+            self.note_member(now, id, phase);
             self.begin_drain(now, id, phase);
         }
         let pool = &self.pool;
@@ -201,7 +211,8 @@
     }
 
     /// The configuration or the inventory was read anew, and taken or not.
-    pub fn reloaded(&mut self, taken: bool) {
+    pub fn reloaded(&mut self, now: Millis, taken: bool) {
+        self.tape.note(now, || record::Reloaded { taken }.into());
         let counter = if taken { &mut self.counters.reloads } else { &mut self.counters.reloads_refused };
         *counter += 1;
     }
@@ -215,29 +226,11 @@
     /// A call to discovery failed, or the watch broke.
     pub fn discovery_failed(&mut self, now: Millis) {
         self.counters.discovery_failures += 1;
+        self.tape.note(now, || record::Blind {}.into());
         self.watching = false;
         self.feed(now, Event::DiscoveryFailed);
     }
 
-    /// A stream that is being negotiated with a member that may take nothing new any more ends there: each
-    /// further step of the negotiation would be new work.
-    fn end_negotiations(&mut self, now: Millis) {
-        let doomed = |t: &&mut Transaction| {
-            let serving = t.member.is_some_and(|member| self.pool.serving(member));
-            t.negotiates && matches!(t.stage, Stage::Out { .. }) && !serving
-        };
-        let ids: Vec<_> =
-            self.transactions.values_mut().filter(doomed).map(|t| (t.request.id, t.committed)).collect();
-        for (id, committed) in ids {
-            if committed {
-                self.send_away(now, id);
-            } else {
-                self.orders.push_back(Order::Front(id, Command::Abandon));
-                self.flow_ended(now, id, Outcome::Cancelled, None);
-            }
-        }
-    }
-
     /// A probe has ended. `message_ms` is how long a message takes there, as the member reports it.
     pub fn probed(
         &mut self,
@@ -250,6 +243,10 @@
         self.counters.probes_answered += u64::from(outcome == Outcome::Ok);
         let load = report.and_then(|report| report.load_over_capacity);
         self.log(LogLine::Probed(self.pool.name(member), outcome, load, message_ms));
+        self.tape.note(now, || {
+            let (load, message_ms) = (load.map(|load| load as f32), message_ms.map(|ms| ms as f32));
+            record::Probed { member: tape::number(member), outcome: outcome.into(), load, message_ms }.into()
+        });
         // The module hears of the probes that it asked for, as in the simulator, and of what the others report: a
         // report not passed on leaves it with an older one.
         if self.probes.remove(&member) == Some(true) || outcome == Outcome::Ok {
@@ -264,6 +261,8 @@
     fn tell_delay(&mut self, now: Millis, member: BackendId, told: Option<Millis>) {
         let Some(took_ms) = told else { return };
         self.log(LogLine::Slow(self.pool.name(member), took_ms));
+        let delay = record::Delay { member: tape::number(member), took_ms: took_ms as f32 };
+        self.tape.note(now, || delay.into());
         self.feed(now, Event::MessageDelay { backend: member, took_ms });
     }
 
@@ -290,6 +289,7 @@
             }
             Said::Up => self.up(now, id),
             Said::Ended(outcome, report) => self.flow_ended(now, id, outcome, report),
+            Said::SentAway => self.sent_away(now, id),
             Said::Left => self.left(now, id),
             Said::Message(took_ms) => {
                 let up = self.transactions.get(&id).filter(|t| t.stage == Stage::Up);
@@ -301,132 +301,6 @@
         }
     }
 
-    fn asked(&mut self, now: Millis, id: TransactionId, ask: Ask) {
-        if self.transactions.contains_key(&id) {
-            return;
-        }
-        // Guards against a client that takes the name of another's open transaction: members turn it away, one
-        // after the other, and each refusal would count against them.
-        if let Some(name) = &ask.name
-            && !self.names.insert(name.clone())
-        {
-            self.counters.bad_duplicate += 1;
-            self.log(LogLine::Duplicate(id, name.clone()));
-            return self.orders.push_back(Order::Front(id, Command::Fail(Failure::Duplicate)));
-        }
-        self.counters.asks += 1;
-        let grace_ms = if ask.grace_ms.is_finite() { ask.grace_ms.max(0.0) } else { 0.0 };
-        let request = Request {
-            id,
-            tenant: ask.tenant,
-            class: ask.class,
-            group: ask.group,
-            key: ask.key,
-            grace_ms,
-            load_hint: ask.load_hint,
-            mid_flow: false,
-        };
-        let deadline = now + grace_ms;
-        let holder = ask.adopted.as_deref().and_then(|name| self.pool.named(name));
-        let holder = holder.filter(|member| self.pool.serving(*member));
-        self.transactions.insert(
-            id,
-            Transaction {
-                name: ask.name,
-                request,
-                stage: Stage::Held,
-                flows: 0,
-                member: holder,
-                member_name: String::new(),
-                asked: now,
-                sent: now,
-                deadline,
-                adopted: holder.is_some(),
-                negotiates: ask.negotiates,
-                committed: false,
-                told: holder.is_none(),
-            },
-        );
-        self.timers.set(deadline, Due::Answer(id));
-        match holder {
-            Some(member) => self.open(now, id, member, grace_ms),
-            // A holder that has gone since can't be asked: the connection is placed like a new one.
-            None => self.feed(now, Event::Request(request)),
-        }
-    }
-
-    fn up(&mut self, now: Millis, id: TransactionId) {
-        let Some(t) = self.transactions.get_mut(&id).filter(|t| matches!(t.stage, Stage::Out { .. })) else {
-            return;
-        };
-        t.stage = Stage::Up;
-        self.counters.served += 1;
-        let (request, took_ms) = (t.request, now - t.sent);
-        if let (true, Some(backend)) = (t.adopted, t.member) {
-            t.told = true;
-            self.counters.adopted += 1;
-            self.feed(now, Event::Adopted { request, backend });
-        } else {
-            self.feed(now, Event::Established { id, took_ms });
-        }
-    }
-
-    fn flow_ended(&mut self, now: Millis, id: TransactionId, outcome: Outcome, report: Option<Report>) {
-        let Some(t) = self.transactions.get_mut(&id).filter(|t| t.stage != Stage::Held) else { return };
-        let Some(member) = t.member else { return };
-        let stood = t.stage == Stage::Up;
-        let attempt = t.flows.saturating_sub(1);
-        count_outcome(&mut self.counters, outcome, stood);
-        if outcome != Outcome::Ok && outcome != Outcome::Cancelled {
-            let (member, took_ms) = (t.member_name.clone(), now - t.sent);
-            let line = LogLine::Flow { id, member, outcome, took_ms, stood };
-            self.orders.push_back(Order::Log(line));
-        }
-        t.stage = Stage::Held;
-        if t.adopted && !t.told {
-            // The module has not heard of it: an adopted connection goes to its member or nowhere.
-            if t.flows < self.most_flows && now + ADOPT_PAUSE_MS < t.deadline {
-                self.timers.set(now + ADOPT_PAUSE_MS, Due::Adopt(id));
-            } else {
-                self.answer(now, id, Command::Fail(Failure::NotAdopted));
-            }
-            return;
-        }
-        // What the member sent has reached the client, so that no other member can take over.
-        let closed = stood || outcome == Outcome::Ok || t.committed;
-        if closed {
-            if t.committed && !stood && outcome != Outcome::Ok {
-                self.answer(now, id, Command::Fail(Failure::Broken));
-            }
-            self.forget(id);
-        }
-        self.feed(now, Event::Ended { id, attempt, backend: member, outcome, closed, report });
-    }
-
-    fn left(&mut self, now: Millis, id: TransactionId) {
-        self.pings.retain(|ping| *ping != id);
-        let Some(t) = self.transactions.get(&id) else { return };
-        self.counters.left += 1;
-        let told = t.told;
-        if t.stage == Stage::Up {
-            return self.flow_ended(now, id, Outcome::Cancelled, None);
-        }
-        if told {
-            self.feed(now, Event::Departed { id });
-        }
-        // The module may have called the flow off already.
-        let Some(stage) = self.transactions.get(&id).map(|t| t.stage) else { return };
-        if stage != Stage::Held {
-            self.orders.push_back(Order::Front(id, Command::Abandon));
-        }
-        let Some(t) = self.forget(id) else { return };
-        if let (true, Stage::Out { .. }, Some(backend)) = (told, stage, t.member) {
-            let attempt = t.flows.saturating_sub(1);
-            let outcome = Outcome::Cancelled;
-            self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
-        }
-    }
-
     // ---- The module ----
 
     /// Feeds the module one event. What its actions bring about at once is fed after it, in order.
@@ -456,7 +330,7 @@
             }
             Action::Move { id } => {
                 if matches!(self.transactions.get(&id), Some(t) if t.stage == Stage::Up) {
-                    self.send_away(now, id);
+                    self.send_away(now, id, record::Reason::Relief);
                 }
             }
             Action::Refuse { id, retry_after_ms } => self.answer(now, id, Command::Reject(retry_after_ms)),
@@ -476,7 +350,10 @@
             // Flows are never reused and nodes do not talk to each other: nothing to close, nobody to tell.
             Action::CloseIdle { .. } | Action::Tell { .. } => {}
             Action::Log(what) => self.log(LogLine::Module(what)),
-            Action::Fault(what) => self.log(LogLine::Fault(what)),
+            Action::Fault(what) => {
+                self.tape.note(now, || record::Fault { what: what.chars().take(200).collect() }.into());
+                self.log(LogLine::Fault(what))
+            }
             Action::SetTimer { at, id } => self.timers.set(at, Due::Module(id)),
         }
     }
@@ -507,61 +384,10 @@
         self.timers.set(now + MEASURE_MS, Due::Measure);
     }
 
-    fn attempt(&mut self, now: Millis, id: TransactionId, member: BackendId, timeout_ms: Millis) {
-        let Some(t) = self.transactions.get(&id).filter(|t| t.stage == Stage::Held) else { return };
-        if t.flows >= self.most_flows || timeout_ms <= 0.0 || !self.pool.serving(member) {
-            let name = self.pool.name(member);
-            let (attempt, outcome) = (t.flows, Outcome::NotSent);
-            self.log(LogLine::Withheld(id, name));
-            let ended = Event::Ended { id, attempt, backend: member, outcome, closed: false, report: None };
-            return self.events.push_back(ended);
-        }
-        let left = t.deadline - now;
-        self.open(now, id, member, timeout_ms.min(left));
-    }
-
-    fn open(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
-        let Some(dial) = self.pool.dial(member) else { return };
-        let name = self.pool.name(member);
-        let Some(t) = self.transactions.get_mut(&id) else { return };
-        t.stage = Stage::Out { connected: false };
-        t.flows += 1;
-        t.sent = now;
-        t.member = Some(member);
-        t.member_name.clone_from(&name);
-        self.counters.flows += 1;
-        self.timers.set(now + self.connect_ms, Due::Connect(id, t.flows));
-        self.timers.set(now + wait_ms, Due::Flow(id, t.flows));
-        self.orders.push_back(Order::Front(id, Command::Open { dial, member: name, wait_ms }));
-    }
-
     fn log(&mut self, line: LogLine) {
         self.orders.push_back(Order::Log(line));
     }
 
-    /// Lets go of a transaction and of its name.
-    fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
-        let t = self.transactions.remove(&id)?;
-        if let Some(name) = &t.name {
-            self.names.remove(name);
-        }
-        Some(t)
-    }
-
-    /// Gives the final answer and forgets the transaction.
-    fn answer(&mut self, now: Millis, id: TransactionId, command: Command) {
-        if let Some(t) = self.forget(id) {
-            let Request { class, tenant, .. } = t.request;
-            let (answer, flows, waited_ms) = (command.clone(), t.flows, now - t.asked);
-            self.log(LogLine::Unserved { id, class, tenant, answer, flows, waited_ms });
-            match command {
-                Command::Reject(_) => self.counters.rejected += 1,
-                _ => self.counters.failed += 1,
-            }
-            self.orders.push_back(Order::Front(id, command));
-        }
-    }
-
     // ---- Time ----
 
     /// Does what has fallen due.
@@ -588,59 +414,11 @@
                 }
                 Due::Measure => self.measure(now),
                 Due::Leave => self.leave_step(now),
+                Due::Look => self.look(now),
                 Due::Drain(member, spread) => self.drain_step(now, member, spread),
             }
         }
     }
-
-    /// Whether this flow of the transaction is out, and if so whether it has a connection.
-    fn out(&self, id: TransactionId, flow: u32) -> Option<bool> {
-        match self.transactions.get(&id) {
-            Some(Transaction { stage: Stage::Out { connected }, flows, .. }) if *flows == flow => {
-                Some(*connected)
-            }
-            _ => None,
-        }
-    }
-
-    /// A flow has had its time. Once the client has heard from its member no other can take over: what is left of
-    /// the client's time is theirs. Guards against streams cut off while their client negotiates.
-    fn flow_due(&mut self, now: Millis, id: TransactionId, flow: u32) {
-        match self.transactions.get(&id) {
-            Some(t) if t.committed && now < t.deadline => self.timers.set(t.deadline, Due::Flow(id, flow)),
-            _ => self.give_up(now, id, Outcome::TimedOut),
-        }
-    }
-
-    fn give_up(&mut self, now: Millis, id: TransactionId, outcome: Outcome) {
-        self.orders.push_back(Order::Front(id, Command::Abandon));
-        self.flow_ended(now, id, outcome, None);
-    }
-
-    /// Guards the first rule against a module that lets a deadline pass: the client gets its answer.
-    fn overdue(&mut self, now: Millis, id: TransactionId) {
-        let Some(t) = self.transactions.get(&id).filter(|t| t.stage != Stage::Up) else { return };
-        let (out, told) = (t.stage != Stage::Held, t.told);
-        let ended = Event::Ended {
-            id,
-            attempt: t.flows.saturating_sub(1),
-            backend: t.member.unwrap_or_default(),
-            outcome: Outcome::TimedOut,
-            closed: true,
-            report: None,
-        };
-        self.log(LogLine::Overdue(id));
-        if out {
-            self.orders.push_back(Order::Front(id, Command::Abandon));
-        }
-        self.answer(now, id, Command::Fail(Failure::Deadline));
-        if told {
-            self.feed(now, Event::Departed { id });
-            if out {
-                self.feed(now, ended);
-            }
-        }
-    }
 }
 
 #[cfg(test)]
--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -62,6 +62,14 @@
         self.members.contains_key(&id)
     }
 
+    pub(super) fn members(&self) -> impl Iterator<Item = (BackendId, &Member)> {
+        self.members.iter().map(|(id, member)| (*id, member))
+    }
+
+    pub(super) fn member(&self, id: BackendId) -> Option<&Member> {
+        self.members.get(&id)
+    }
+
     pub(super) fn dial(&self, id: BackendId) -> Option<String> {
         self.members.get(&id).map(|member| member.dial.clone())
     }
--- /dev/null
+++ b/src/broker/requests.rs
@@ -0,0 +1,171 @@
+//! Transactions from their first line to their one final answer.
+
+use super::*;
+
+impl Broker {
+    pub(super) fn asked(&mut self, now: Millis, id: TransactionId, ask: Ask) {
+        if self.transactions.contains_key(&id) {
+            return;
+        }
+        // Guards against a client that takes the name of another's open transaction: members turn it away, one
+        // after the other, and each refusal would count against them.
+        if let Some(name) = &ask.name
+            && !self.names.insert(name.clone())
+        {
+            self.counters.bad_duplicate += 1;
+            self.log(LogLine::Duplicate(id, name.clone()));
+            return self.orders.push_back(Order::Front(id, Command::Fail(Failure::Duplicate)));
+        }
+        self.counters.asks += 1;
+        self.tape.note(now, || {
+            let asked = record::Asked {
+                transaction: id.0,
+                class: ask.class.0,
+                tenant: ask.tenant.0,
+                name: ask.name.as_deref().map(|name| crate::pool::name_hash(name) as u32),
+                adopted: ask.adopted.is_some(),
+                grace_ms: ask.grace_ms as f32,
+            };
+            asked.into()
+        });
+        let grace_ms = if ask.grace_ms.is_finite() { ask.grace_ms.max(0.0) } else { 0.0 };
+        let request = Request {
+            id,
+            tenant: ask.tenant,
+            class: ask.class,
+            group: ask.group,
+            key: ask.key,
+            grace_ms,
+            load_hint: ask.load_hint,
+            mid_flow: false,
+        };
+        let deadline = now + grace_ms;
+        let holder = ask.adopted.as_deref().and_then(|name| self.pool.named(name));
+        let holder = holder.filter(|member| self.pool.serving(*member));
+        self.transactions.insert(
+            id,
+            Transaction {
+                name: ask.name,
+                request,
+                stage: Stage::Held,
+                flows: 0,
+                member: holder,
+                member_name: String::new(),
+                asked: now,
+                sent: now,
+                deadline,
+                adopted: holder.is_some(),
+                negotiates: ask.negotiates,
+                committed: false,
+                told: holder.is_none(),
+            },
+        );
+        self.timers.set(deadline, Due::Answer(id));
+        match holder {
+            Some(member) => self.open(now, id, member, grace_ms),
+            // A holder that has gone since can't be asked: the connection is placed like a new one.
+            None => self.feed(now, Event::Request(request)),
+        }
+    }
+
+    pub(super) fn up(&mut self, now: Millis, id: TransactionId) {
+        let Some(t) = self.transactions.get_mut(&id).filter(|t| matches!(t.stage, Stage::Out { .. })) else {
+            return;
+        };
+        t.stage = Stage::Up;
+        self.counters.served += 1;
+        let (request, took_ms, adopted, member) = (t.request, now - t.sent, t.adopted, t.member);
+        t.told |= adopted;
+        if let Some(t) = self.transactions.get(&id) {
+            self.tape.note(now, || tape::answered(now, t, record::Answer::Served).into());
+        }
+        if let (true, Some(backend)) = (adopted, member) {
+            self.counters.adopted += 1;
+            self.feed(now, Event::Adopted { request, backend });
+        } else {
+            self.feed(now, Event::Established { id, took_ms });
+        }
+    }
+
+    pub(super) fn left(&mut self, now: Millis, id: TransactionId) {
+        self.pings.retain(|ping| *ping != id);
+        let Some(t) = self.transactions.get(&id) else { return };
+        self.counters.left += 1;
+        let told = t.told;
+        if t.stage == Stage::Up {
+            self.note_flow(now, id, Outcome::Cancelled, true, true);
+            return self.flow_over(now, id, Outcome::Cancelled, None);
+        }
+        if told {
+            self.feed(now, Event::Departed { id });
+        }
+        // The module may have called the flow off already.
+        let Some(stage) = self.transactions.get(&id).map(|t| t.stage) else { return };
+        if stage != Stage::Held {
+            self.orders.push_back(Order::Front(id, Command::Abandon));
+        }
+        let Some(t) = self.forget(id) else { return };
+        self.note_answer(now, &t, record::Answer::Left);
+        if let (true, Stage::Out { .. }, Some(backend)) = (told, stage, t.member) {
+            let attempt = t.flows.saturating_sub(1);
+            let outcome = Outcome::Cancelled;
+            self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
+        }
+    }
+
+    /// Gives the final answer and forgets the transaction.
+    pub(super) fn answer(&mut self, now: Millis, id: TransactionId, command: Command) {
+        if let Some(t) = self.forget(id) {
+            let Request { class, tenant, .. } = t.request;
+            let (answer, flows, waited_ms) = (command.clone(), t.flows, now - t.asked);
+            self.log(LogLine::Unserved { id, class, tenant, answer, flows, waited_ms });
+            let recorded = match command {
+                Command::Reject(again_ms) => record::Answer::Rejected { again_ms: again_ms as f32 },
+                Command::Fail(failure) => record::Answer::Failed(failure.into()),
+                _ => record::Answer::Failed(record::Failure::GivenUp),
+            };
+            self.note_answer(now, &t, recorded);
+            match command {
+                Command::Reject(_) => self.counters.rejected += 1,
+                _ => self.counters.failed += 1,
+            }
+            self.orders.push_back(Order::Front(id, command));
+        }
+    }
+
+    /// Guards the first rule against a module that lets a deadline pass: the client gets its answer.
+    pub(super) fn overdue(&mut self, now: Millis, id: TransactionId) {
+        let Some(t) = self.transactions.get(&id).filter(|t| t.stage != Stage::Up) else { return };
+        let (out, told) = (t.stage != Stage::Held, t.told);
+        let ended = Event::Ended {
+            id,
+            attempt: t.flows.saturating_sub(1),
+            backend: t.member.unwrap_or_default(),
+            outcome: Outcome::TimedOut,
+            closed: true,
+            report: None,
+        };
+        self.tape
+            .note(now, || record::Fault { what: format!("answer of transaction {} overdue", id.0) }.into());
+        self.log(LogLine::Overdue(id));
+        if out {
+            self.orders.push_back(Order::Front(id, Command::Abandon));
+        }
+        self.answer(now, id, Command::Fail(Failure::Deadline));
+        if told {
+            self.feed(now, Event::Departed { id });
+            if out {
+                self.feed(now, ended);
+            }
+        }
+    }
+
+    /// Lets go of a transaction and of its name.
+    pub(super) fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
+        let t = self.transactions.remove(&id)?;
+        if let Some(name) = &t.name {
+            self.names.remove(name);
+        }
+        Some(t)
+    }
+}
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -43,6 +43,8 @@
     Up,
     /// The flow ended.
     Ended(Outcome, Option<Report>),
+    /// The member told the client to come again, and has ended the connection.
+    SentAway,
     /// The client is gone.
     Left,
     /// A relayed line was answered by the member after this time.
--- a/src/config.rs
+++ b/src/config.rs
@@ -2,10 +2,11 @@
 
 use crate::api::*;
 use crate::pool::{PoolList, RawList};
+use hopmoor_record::Keep;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Everything a node is told at its start.
 #[derive(Clone, Debug)]
@@ -24,6 +25,17 @@
     pub known: PoolList,
     /// Names and figures of the site.
     pub site: Site,
+    /// Where the node records what happens; the platform's configuration never sets it.
+    pub records: Option<Records>,
+}
+
+/// Where and how much a node records.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Records {
+    /// A folder of the node's own.
+    pub folder: PathBuf,
+    /// How much is kept.
+    pub keep: Keep,
 }
 
 /// The settings: those of the decision module and those that only the network code reads.
@@ -104,6 +116,7 @@
         known: raw.known.list(&site.zones).map_err(|error| ConfigError(format!("known: {error}")))?,
         name: raw.name,
         site,
+        records: None,
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,7 +50,9 @@
 pub mod platform;
 pub mod pool;
 mod state;
+mod view;
 pub mod xmpp;
 
 pub use api::*;
 pub use logic::Balancer;
+pub use view::{MemberView, TenantView};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,8 @@
 //! The hopmoor node: command line.
 
+use hopmoor::config;
 use hopmoor::net::{self, Speaks};
-use hopmoor::{config, operator};
+use hopmoor::operator::{self, Front};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -17,8 +18,9 @@
   help      print this
 
 options:
-  --config FILE   read this file instead of the one that NODE_CONFIG names
-  --xmpp FILE     be an XMPP node, set up by this operator's file
+  --config FILE     read this file instead of the one that NODE_CONFIG names
+  --operator FILE   be a node set up by this operator's file
+  --xmpp FILE       the same, as older set-ups have it
 ";
 
 fn main() -> ExitCode {
@@ -34,35 +36,40 @@
         Ok(file) => file,
         Err(error) => return usage(&error.to_string()),
     };
-    let xmpp: Option<PathBuf> = match args.opt_value_from_str("--xmpp") {
-        Ok(file) => file,
-        Err(error) => return usage(&error.to_string()),
-    };
-    if file.is_some() && xmpp.is_some() {
-        return usage("--config and --xmpp exclude each other");
+    let mut operators: Vec<PathBuf> = Vec::new();
+    for name in ["--operator", "--xmpp"] {
+        match args.opt_value_from_str(name) {
+            Ok(file) => operators.extend(file),
+            Err(error) => return usage(&error.to_string()),
+        }
+    }
+    if operators.len() + usize::from(file.is_some()) > 1 {
+        return usage("--config, --operator and --xmpp exclude each other");
     }
+    let operator = operators.pop();
     if let Some(more) = args.finish().first() {
         return usage(&format!("unknown argument '{}'", more.to_string_lossy()));
     }
     match command.as_str() {
         "version" => println!("hopmoor {}", env!("CARGO_PKG_VERSION")),
         "help" => print!("{USAGE}"),
-        "check" | "serve" => return with_config(&command, file, xmpp),
+        "check" | "serve" => return with_config(&command, file, operator),
         other => return usage(&format!("unknown command '{other}'")),
     }
     ExitCode::SUCCESS
 }
 
-fn with_config(command: &str, file: Option<PathBuf>, xmpp: Option<PathBuf>) -> ExitCode {
-    let named = xmpp.clone().or(file).or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+fn with_config(command: &str, file: Option<PathBuf>, operator: Option<PathBuf>) -> ExitCode {
+    let named = operator.clone().or(file).or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
     let Some(file) = named else {
-        return usage("neither --config, --xmpp nor NODE_CONFIG names a file");
+        return usage("neither --config, --operator nor NODE_CONFIG names a file");
     };
-    let read = match xmpp {
+    let read = match operator {
         None => config::read(&file).map(|config| (config, Speaks::Platform(file.clone()))),
-        Some(_) => {
-            operator::read(&file).map(|found| (found.config, Speaks::Xmpp(found.realm, found.inventory)))
-        }
+        Some(_) => operator::read(&file).map(|found| match found.front {
+            Front::Platform(config) => (found.config, Speaks::Platform(config)),
+            Front::Xmpp(realm, inventory) => (found.config, Speaks::Xmpp(realm, inventory)),
+        }),
     };
     let (config, speaks) = match read {
         Ok(read) => read,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod log;
 mod probe;
+mod recorder;
 mod reload;
 mod seats;
 mod session;
@@ -15,6 +16,7 @@
 use crate::front::{Front, Input};
 use crate::xmpp::Realm;
 use crate::{platform, xmpp};
+use recorder::Recorder;
 use reload::Source;
 use seats::{FULL_MS, Seats};
 use slog::{Logger, debug, info, warn};
@@ -81,6 +83,7 @@
     /// Wakes the timer driver when an earlier time was set.
     timers: Notify,
     keepalive: Duration,
+    recorder: Option<Recorder>,
 }
 
 impl Node {
@@ -227,7 +230,14 @@
 /// If signals can't be had.
 pub async fn run(config: Config, speaks: Speaks, listener: TcpListener, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
-    let broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
+    let mut broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
+    let recorder = match &config.records {
+        Some(records) => {
+            broker.record(clock.now());
+            Some(Recorder::start(records, &config, clock.now(), log.clone())?)
+        }
+        None => None,
+    };
     let node = Rc::new(Node {
         clock,
         log,
@@ -241,6 +251,7 @@
         watching: std::cell::Cell::new(false),
         timers: Notify::new(),
         keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
+        recorder,
     });
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -250,6 +261,9 @@
         "version" => env!("CARGO_PKG_VERSION"));
     node.with(|_, _| ()); // what the known list brought about
     tokio::task::spawn_local(timers(node.clone()));
+    if node.recorder.is_some() {
+        tokio::task::spawn_local(recorder::feed(node.clone()));
+    }
     match config.discovery {
         Some(_) => drop(tokio::task::spawn_local(watch::watch(node.clone(), config.site.zones.clone()))),
         None => node.with(|broker, _| broker.set_ready()),
@@ -282,6 +296,7 @@
         }
     }
     leave(&node).await;
+    recorder::finish(&node);
     node.print_counters("exit");
     Ok(())
 }
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -26,7 +26,7 @@
             Source::Inventory(file) => match operator::pool(file) {
                 Ok(list) => {
                     info!(node.log, "inventory taken"; "members" => list.members.len());
-                    node.broker.borrow_mut().reloaded(true);
+                    node.with(|broker, now| broker.reloaded(now, true));
                     node.with(|broker, now| broker.listed(now, list));
                 }
                 Err(error) => refuse(node, "inventory not taken", &error),
@@ -36,7 +36,7 @@
 }
 
 fn refuse(node: &Rc<Node>, what: &'static str, error: &config::ConfigError) {
-    node.broker.borrow_mut().reloaded(false);
+    node.with(|broker, now| broker.reloaded(now, false));
     warn!(node.log, "{}", what; "error" => %error);
 }
 
@@ -56,7 +56,7 @@
     node.seats.borrow_mut().resize(new.sockets);
     old.sockets = new.sockets;
     old.discovery = new.discovery;
-    node.broker.borrow_mut().reloaded(true);
+    node.with(|broker, now| broker.reloaded(now, true));
     if let Some(address) = new.discovery {
         node.discovery.set(Some(address));
         node.with(|broker, _| broker.rewatch());
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -1,28 +1,80 @@
-//! An operator's file: sets up the XMPP front with an inventory in place of the platform's configuration.
+//! An operator's file. It sets up the XMPP front with an inventory in place of the platform's configuration, or the
+//! platform's front with a configuration in the platform's form; and for either what the platform does not give.
 
 use crate::api::{Class, ListedWeight, Millis, Settings, Tenant};
-use crate::config::{Config, ConfigError, Site, address};
+use crate::config::{self, Config, ConfigError, Records, Site, address};
 use crate::inventory::{self, Inventory};
 use crate::pool::{PoolList, name_hash};
 use crate::xmpp::Realm;
+use hopmoor_record::Keep;
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// What an operator's file sets up.
 #[derive(Clone, Debug)]
 pub struct Operator {
     /// The node, as the platform would configure it.
     pub config: Config,
-    /// The XMPP front.
-    pub realm: Realm,
-    /// Where the inventory stands.
-    pub inventory: PathBuf,
+    /// Its front.
+    pub front: Front,
+}
+
+/// The front that an operator's file sets up.
+#[derive(Clone, Debug)]
+pub enum Front {
+    /// The platform's protocol, by this configuration.
+    Platform(PathBuf),
+    /// XMPP, with an inventory.
+    Xmpp(Realm, PathBuf),
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPlatform {
+    config: PathBuf,
+    records: Option<RawRecords>,
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Raw {
+struct RawRecords {
+    folder: PathBuf,
+    segment_bytes: Option<u64>,
+    keep_bytes: Option<u64>,
+    keep_hours: Option<f64>,
+}
+
+impl RawRecords {
+    /// Checks the values and that the folder can be written to.
+    fn check(self, above: &Path) -> Result<Records, ConfigError> {
+        let base = Keep::default();
+        let segment_bytes = self.segment_bytes.unwrap_or(base.segment_bytes);
+        if !(4_096..=64 << 20).contains(&segment_bytes) {
+            return Err(ConfigError("records.segment_bytes: not from 4096 to 67108864".into()));
+        }
+        let keep_bytes = self.keep_bytes.unwrap_or(base.keep_bytes);
+        if keep_bytes < 2 * segment_bytes {
+            return Err(ConfigError("records.keep_bytes: less than two segments".into()));
+        }
+        let hours = self.keep_hours.unwrap_or(base.keep_for.as_secs_f64() / 3_600.0);
+        // Up to ten years: guards against times past what the clock can tell.
+        if !(hours > 0.0 && hours <= 87_600.0) {
+            return Err(ConfigError("records.keep_hours: not over 0 and up to 87600".into()));
+        }
+        let folder = above.join(&self.folder);
+        let about = |error| ConfigError(format!("records.folder: {}: {error}", folder.display()));
+        let probe = folder.join(format!(".writable-{}", std::process::id()));
+        std::fs::write(&probe, b"").map_err(about)?;
+        std::fs::remove_file(&probe).map_err(about)?;
+        let keep = Keep { segment_bytes, keep_bytes, keep_for: Duration::from_secs_f64(hours * 3_600.0) };
+        Ok(Records { folder, keep })
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawXmpp {
     name: String,
     listen: String,
     inventory: PathBuf,
@@ -34,6 +86,7 @@
     sockets: usize,
     #[serde(default = "connect_timeout_ms")]
     connect_timeout_ms: Millis,
+    records: Option<RawRecords>,
 }
 
 fn stanza_bytes() -> usize {
@@ -48,16 +101,26 @@
     250.0
 }
 
-/// Reads the file and the inventory that it names, relative to it.
+/// Reads the file, and the inventory or configuration that it names, relative to it.
 ///
 /// # Errors
 /// One message that names the file and the line or field at fault.
 pub fn read(path: &Path) -> Result<Operator, ConfigError> {
     let about = |error: &dyn std::fmt::Display| ConfigError(format!("{}: {error}", path.display()));
     let json = std::fs::read(path).map_err(|error| about(&error))?;
-    let raw: Raw = serde_json::from_slice(&json).map_err(|error| about(&error))?;
+    let above = path.parent().unwrap_or(Path::new(""));
+    let value: serde_json::Value = serde_json::from_slice(&json).map_err(|error| about(&error))?;
+    if value.get("config").is_some() {
+        let raw: RawPlatform = serde_json::from_slice(&json).map_err(|error| about(&error))?;
+        let file = above.join(&raw.config);
+        let mut config = config::read(&file)?;
+        config.records =
+            raw.records.map(|records| records.check(above)).transpose().map_err(|error| about(&error))?;
+        return Ok(Operator { config, front: Front::Platform(file) });
+    }
+    let raw: RawXmpp = serde_json::from_slice(&json).map_err(|error| about(&error))?;
     let listen = address("listen", &raw.listen).map_err(|error| about(&error))?;
-    let file = path.parent().unwrap_or(Path::new("")).join(&raw.inventory);
+    let file = above.join(&raw.inventory);
     let inventory = inventory::read(&file).map_err(|error| ConfigError(error.to_string()))?;
     let team = match &raw.team {
         None => None,
@@ -83,8 +146,13 @@
         sockets: raw.sockets,
         site: site(&inventory, raw.connect_timeout_ms),
         known: inventory.pool,
+        records: raw
+            .records
+            .map(|records| records.check(above))
+            .transpose()
+            .map_err(|error| about(&error))?,
     };
-    Ok(Operator { config, realm, inventory: file })
+    Ok(Operator { config, front: Front::Xmpp(realm, file) })
 }
 
 /// Reads the pool of an inventory anew.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -382,13 +382,13 @@
                 self.ended(outcome, None);
             }
             State::Up(relay) => {
-                let outcome = match relay.last() {
-                    Some(Answer::Bye) => Outcome::Ok,
-                    Some(Answer::Move) => Outcome::Cancelled,
-                    _ if self.client_ended => Outcome::Cancelled,
-                    _ => Outcome::Reset,
+                let said = match relay.last() {
+                    Some(Answer::Bye) => Said::Ended(Outcome::Ok, None),
+                    Some(Answer::Move) => Said::SentAway,
+                    _ if self.client_ended => Said::Ended(Outcome::Cancelled, None),
+                    _ => Said::Ended(Outcome::Reset, None),
                 };
-                self.say(Said::Ended(outcome, None));
+                self.say(said);
                 // The client's connection ends as the member's did.
                 if broke {
                     self.over(Step::ResetClient);
