Find incidents and the share of service lost in the nodes' records

Need: records alone are as hard to read as log lines; operators want to know what went wrong when, told apart where troubles overlap, and what each cost.

--- /dev/null
+++ b/crates/incident/src/wants.rs
@@ -0,0 +1,508 @@
+//! Who wanted a connection when, and who had one: the share of service lost.
+//!
+//! A *want* begins when a client asks and lasts until it ends its connection in good order. In between it may wait,
+//! stand at a member, or be away: rejected, failed, moved or broken off, until it asks again under the same name.
+//! Each second of a want is worth what its class says. Seconds in which it stands at a member that is neither silent
+//! nor slow are served; all others are lost, and each lost piece bears the cause that the node's record gives.
+//!
+//! What a node can't know is estimated, in one place ([`Ledger::finish`]): clients that went away and were never
+//! heard of again. Part of them would have ended in that time anyway (the usual absence over the usual life); each
+//! that goes beyond that part is taken to have wanted a usual life more.
+
+use crate::curve::{Curve, Scale};
+use hopmoor_record::{MemberId, Origin};
+use std::collections::BTreeMap;
+
+/// A client that has not come again after this is taken to stay away.
+const AWAY_MS: f64 = 60_000.0;
+
+/// Waiting longer than this without a failed attempt is waiting for room.
+const SET_UP_MS: f64 = 100.0;
+
+/// Why service was lost, as one record says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Cause {
+    /// Nothing but the ordinary time of setting up.
+    SetUp,
+    /// It waited in a queue or was turned away, and no member was at fault.
+    Room,
+    /// A member was at fault, or left.
+    Member(MemberId, Why),
+    /// A node was told to end.
+    NodeLeft(Origin),
+    /// A node ended without a word.
+    NodeCut(Origin),
+}
+
+/// What a member did to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Why {
+    /// It answered nothing.
+    Silent,
+    /// It broke the connection off, or none could be made.
+    Broke,
+    /// It turned it away.
+    Refused,
+    /// Its messages were late.
+    Slow,
+    /// It drained.
+    Drained,
+    /// It was listed no more.
+    Gone,
+    /// Clients were moved away for relief.
+    Relief,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    Asking,
+    Standing(MemberId),
+}
+
+#[derive(Clone, Debug)]
+struct Want {
+    class: u32,
+    tenant: u32,
+    name: Option<u32>,
+    at: At,
+    /// Up to when it is accounted for.
+    settled: f64,
+    since: f64,
+    cause: Cause,
+    /// Records were lost since: what it did from `settled` on is known only if it is heard of again.
+    doubtful: bool,
+}
+
+/// A client that went away.
+#[derive(Clone, Copy, Debug)]
+struct Away {
+    since: f64,
+    cause: Cause,
+    /// What becomes of it is not to be guessed at: the records of its node end there.
+    unknown: bool,
+}
+
+type Name = (u32, u32, u32);
+
+/// How clients of a class that went away came again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Returns {
+    went: u64,
+    came: u64,
+    absence: f64,
+}
+
+/// Clients that stood at a member, by class.
+#[derive(Clone, Debug, Default)]
+struct Standing {
+    open: u32,
+    since: f64,
+    curve: Curve,
+}
+
+/// Lost worth by class, for a cause.
+pub type Lost = BTreeMap<(Cause, u32), Curve>;
+
+/// What a class or a tenant asked for and lost, in worth-seconds.
+pub type Sums = BTreeMap<u32, (f64, f64)>;
+
+/// The account of all wants.
+#[derive(Debug)]
+pub struct Ledger {
+    /// The steps of all curves.
+    pub scale: Scale,
+    worths: Vec<f64>,
+    wants: BTreeMap<(Origin, u64), Want>,
+    away: BTreeMap<Name, Away>,
+    purge_at: f64,
+    never: BTreeMap<(Cause, u32, u32), Curve>,
+    returns: BTreeMap<u32, Returns>,
+    standing: BTreeMap<(MemberId, u32), Standing>,
+    stood_ms: BTreeMap<u32, (f64, u64)>,
+    asked: Curve,
+    lost: Lost,
+    by_class: Sums,
+    by_tenant: Sums,
+}
+
+/// What the ledger holds in the end.
+#[derive(Debug, Default)]
+pub struct Account {
+    /// Worth asked for over time.
+    pub asked: Curve,
+    /// Worth lost over time, by cause and class.
+    pub lost: Lost,
+    /// Asked and lost by class, lost at members apart.
+    pub by_class: Sums,
+    /// Asked and lost by tenant, lost at members apart.
+    pub by_tenant: Sums,
+    /// Worth that stood at members over time, by class.
+    pub standing: BTreeMap<(MemberId, u32), Curve>,
+}
+
+impl Ledger {
+    /// An empty account that begins at this time.
+    pub fn new(from: f64) -> Self {
+        Ledger {
+            scale: Scale::new(from, 1_000.0),
+            worths: Vec::new(),
+            wants: BTreeMap::new(),
+            away: BTreeMap::new(),
+            purge_at: from,
+            never: BTreeMap::new(),
+            returns: BTreeMap::new(),
+            standing: BTreeMap::new(),
+            stood_ms: BTreeMap::new(),
+            asked: Curve::default(),
+            lost: BTreeMap::new(),
+            by_class: BTreeMap::new(),
+            by_tenant: BTreeMap::new(),
+        }
+    }
+
+    /// What a second of each class is worth.
+    pub fn worths(&mut self, worths: Vec<f64>) {
+        self.worths = worths;
+    }
+
+    fn worth(&self, class: u32) -> f64 {
+        self.worths.get(class as usize).copied().unwrap_or(1.0)
+    }
+
+    /// The scale has to reach this time; says how often it was doubled.
+    pub fn reach(&mut self, at: f64) -> u32 {
+        let doubled = self.scale.reach(at);
+        if doubled > 0 {
+            self.asked.double(doubled);
+            self.lost.values_mut().for_each(|curve| curve.double(doubled));
+            self.never.values_mut().for_each(|curve| curve.double(doubled));
+            self.standing.values_mut().for_each(|standing| standing.curve.double(doubled));
+        }
+        doubled
+    }
+
+    fn account(&mut self, class: u32, tenant: u32, from: f64, until: f64, lost: Option<Cause>) {
+        if until <= from {
+            return;
+        }
+        let rate = self.worth(class) / 1_000.0;
+        let worth = rate * (until - from);
+        let part = if lost.is_some() { worth } else { 0.0 };
+        for sums in [self.by_class.entry(class).or_default(), self.by_tenant.entry(tenant).or_default()] {
+            sums.0 += worth;
+            sums.1 += part;
+        }
+        self.asked.spread(&self.scale, from, until, rate);
+        if let Some(cause) = lost {
+            self.lost.entry((cause, class)).or_default().spread(&self.scale, from, until, rate);
+        }
+    }
+
+    fn stand(&mut self, member: MemberId, class: u32, at: f64, by: i32) {
+        let rate = self.worth(class) / 1_000.0;
+        let standing = self.standing.entry((member, class)).or_default();
+        standing.curve.spread(&self.scale, standing.since, at, rate * f64::from(standing.open));
+        standing.open = standing.open.saturating_add_signed(by);
+        standing.since = at;
+    }
+
+    /// Accounts for a want up to `at`.
+    fn settle(&mut self, want: &mut Want, at: f64) {
+        let lost = match want.at {
+            At::Asking => Some(want.cause),
+            At::Standing(_) => None,
+        };
+        self.account(want.class, want.tenant, want.settled, at, lost);
+        want.settled = at.max(want.settled);
+    }
+
+    /// A client asks.
+    pub fn asked(&mut self, origin: Origin, id: u64, at: f64, class: u32, tenant: u32, name: Option<u32>) {
+        self.purge(at);
+        let mut want = Want {
+            class,
+            tenant,
+            name,
+            at: At::Asking,
+            settled: at,
+            since: at,
+            cause: Cause::SetUp,
+            doubtful: false,
+        };
+        if let Some(name) = name
+            && let Some(away) = self.away.remove(&(name, class, tenant))
+        {
+            // It has been wanting all the time.
+            self.account(class, tenant, away.since, at, Some(away.cause));
+            want.cause = away.cause;
+            let returns = self.returns.entry(class).or_default();
+            returns.came += 1;
+            returns.absence += at - away.since;
+        }
+        self.wants.insert((origin, id), want);
+    }
+
+    /// An attempt for it has failed.
+    pub fn hindered(&mut self, origin: Origin, id: u64, at: f64, cause: Cause) {
+        if let Some(mut want) = self.wants.remove(&(origin, id)) {
+            if want.at == At::Asking {
+                // What it has waited so far is this attempt's doing.
+                want.cause = cause;
+                self.settle(&mut want, at);
+            }
+            self.wants.insert((origin, id), want);
+        }
+    }
+
+    /// It stands at a member.
+    ///
+    /// Returns whether it had to wait for longer than a set-up takes though no member was at fault.
+    pub fn stands(&mut self, origin: Origin, id: u64, at: f64, member: MemberId) -> bool {
+        let mut queued = false;
+        if let Some(mut want) = self.wants.remove(&(origin, id)) {
+            if want.cause == Cause::SetUp && at - want.since > SET_UP_MS {
+                want.cause = Cause::Room;
+            }
+            queued = want.cause == Cause::Room;
+            self.settle(&mut want, at);
+            (want.at, want.since) = (At::Standing(member), at);
+            self.stand(member, want.class, at, 1);
+            self.wants.insert((origin, id), want);
+        }
+        queued
+    }
+
+    /// A want whose beginning was lost with other records is known from now on.
+    pub fn known(&mut self, origin: Origin, id: u64, asked: f64, class: u32, tenant: u32) {
+        if !self.wants.contains_key(&(origin, id)) {
+            self.asked(origin, id, asked, class, tenant, None);
+        }
+    }
+
+    fn take(&mut self, origin: Origin, id: u64, at: f64) -> Option<Want> {
+        let mut want = self.wants.remove(&(origin, id))?;
+        if let At::Standing(member) = want.at {
+            if want.doubtful {
+                // It has stood all the while after all.
+                let rate = self.worth(want.class) / 1_000.0;
+                let standing = self.standing.entry((member, want.class)).or_default();
+                standing.curve.spread(&self.scale, want.settled, at, rate);
+            } else {
+                self.stand(member, want.class, at, -1);
+            }
+            let stood = self.stood_ms.entry(want.class).or_default();
+            stood.0 += (at - want.since).max(0.0);
+        }
+        self.settle(&mut want, at);
+        Some(want)
+    }
+
+    /// It ended as its client wanted it to.
+    pub fn ended(&mut self, origin: Origin, id: u64, at: f64) {
+        if let Some(want) = self.take(origin, id, at)
+            && matches!(want.at, At::Standing(_))
+        {
+            self.stood_ms.entry(want.class).or_default().1 += 1;
+        }
+    }
+
+    /// Its connection ended, or it was turned away, and its client is expected to come again. `None` for a cause:
+    /// that of the wait before.
+    pub fn went(&mut self, origin: Origin, id: u64, at: f64, cause: Option<Cause>) {
+        if cause.is_none()
+            && let Some(want) = self.wants.get_mut(&(origin, id)).filter(|want| want.cause == Cause::SetUp)
+        {
+            want.cause = Cause::Room;
+        }
+        if let Some(want) = self.take(origin, id, at) {
+            self.goes(want, at, cause, false);
+        }
+    }
+
+    fn goes(&mut self, want: Want, at: f64, cause: Option<Cause>, unknown: bool) {
+        let cause = cause.unwrap_or(want.cause);
+        // Who has no name can't be known again.
+        let Some(name) = want.name else { return };
+        let away = Away { since: at, cause, unknown };
+        if !unknown {
+            self.returns.entry(want.class).or_default().went += 1;
+        }
+        if let Some(before) = self.away.insert((name, want.class, want.tenant), away) {
+            self.stays_away((name, want.class, want.tenant), before);
+        }
+    }
+
+    fn stays_away(&mut self, (_, class, tenant): Name, away: Away) {
+        if !away.unknown {
+            let curve = self.never.entry((away.cause, class, tenant)).or_default();
+            curve.count(&self.scale, away.since, 1.0);
+        }
+    }
+
+    fn purge(&mut self, at: f64) {
+        if at < self.purge_at {
+            return;
+        }
+        self.purge_at = at + AWAY_MS / 4.0;
+        let old: Vec<_> =
+            self.away.iter().filter(|(_, away)| at - away.since > AWAY_MS).map(|(name, _)| *name).collect();
+        for name in old {
+            if let Some(away) = self.away.remove(&name) {
+                self.stays_away(name, away);
+            }
+        }
+    }
+
+    /// Records of a node were lost from `since` on: what its clients did after that is not known.
+    pub fn doubt(&mut self, origin: Origin, since: f64) {
+        let ids: Vec<_> = self.wants.keys().filter(|(of, _)| *of == origin).copied().collect();
+        for key in ids {
+            let Some(mut want) = self.wants.remove(&key) else { continue };
+            match want.at {
+                // Its answer may have been lost: it may stand by now, or not.
+                At::Asking => continue,
+                At::Standing(_) if want.doubtful => {}
+                At::Standing(member) => {
+                    self.stand(member, want.class, since.max(want.since), -1);
+                    self.settle(&mut want, since);
+                    want.doubtful = true;
+                }
+            }
+            self.wants.insert(key, want);
+        }
+    }
+
+    /// A node's run is over. What stood there is away; whether it came again elsewhere, other records tell.
+    pub fn run_over(&mut self, origin: Origin, at: f64, cause: Cause) {
+        let ids: Vec<_> = self.wants.keys().filter(|(of, _)| *of == origin).copied().collect();
+        for (origin, id) in ids {
+            let doubtful = self.wants.get(&(origin, id)).is_some_and(|want| want.doubtful);
+            if doubtful {
+                self.wants.remove(&(origin, id));
+            } else if let Some(want) = self.take(origin, id, at) {
+                self.goes(want, at, Some(cause), true);
+            }
+        }
+    }
+
+    /// Closes the account at the last record's time, and estimates what can only be estimated.
+    pub fn finish(mut self, at: f64) -> Account {
+        let ids: Vec<_> = self.wants.keys().copied().collect();
+        for (origin, id) in ids {
+            if !self.wants.get(&(origin, id)).is_some_and(|want| want.doubtful) {
+                self.take(origin, id, at);
+            }
+        }
+        // Those away just now are not given up yet: they have wanted until now.
+        for (name, away) in std::mem::take(&mut self.away) {
+            if away.unknown {
+                continue;
+            }
+            let returns = self.returns.get(&name.1).copied().unwrap_or_default();
+            let usual = if returns.came > 0 { returns.absence / returns.came as f64 } else { 1_000.0 };
+            if at - away.since > 3.0 * usual {
+                self.stays_away(name, away);
+            } else {
+                self.account(name.1, name.2, away.since, at, Some(away.cause));
+            }
+        }
+        for ((cause, class, tenant), curve) in std::mem::take(&mut self.never) {
+            let returns = self.returns.get(&class).copied().unwrap_or_default();
+            let absence = if returns.came > 0 { returns.absence / returns.came as f64 } else { 1_000.0 };
+            let (stood, ends) = self.stood_ms.get(&class).copied().unwrap_or_default();
+            let life = if ends > 0 { stood / ends as f64 } else { 0.0 };
+            let never = returns.went.saturating_sub(returns.came) as f64;
+            let natural = if life > 0.0 { never.min(returns.went as f64 * absence / life) } else { never };
+            let each = (natural * absence / 2.0 + (never - natural) * life) / never.max(1.0);
+            let rate = self.worth(class) / 1_000.0;
+            let lost = curve.sum() * rate * each;
+            for sums in [self.by_class.entry(class).or_default(), self.by_tenant.entry(tenant).or_default()] {
+                sums.0 += lost;
+                sums.1 += lost;
+            }
+            // They are put where they went away, and as long after it as each is taken to have wanted.
+            let steps = curve.values(crate::curve::MOST, 1.0);
+            for (place, count) in steps.iter().enumerate().filter(|(_, count)| **count > 0.0) {
+                let from = self.scale.from + place as f64 * self.scale.step;
+                let until = (from + each).min(at);
+                if until > from {
+                    let rate = f64::from(*count) * rate * each / (until - from);
+                    self.asked.spread(&self.scale, from, until, rate);
+                    self.lost.entry((cause, class)).or_default().spread(&self.scale, from, until, rate);
+                }
+            }
+        }
+        let standing = self.standing.into_iter().map(|(key, standing)| (key, standing.curve)).collect();
+        let (by_class, by_tenant) = (self.by_class, self.by_tenant);
+        Account { asked: self.asked, lost: self.lost, by_class, by_tenant, standing }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HERE: Origin = Origin(0);
+    const S: MemberId = MemberId(3);
+
+    fn lost(account: &Account) -> f64 {
+        account.lost.values().map(Curve::sum).sum()
+    }
+
+    #[test]
+    fn waiting_and_absence_are_lost_and_standing_is_served() {
+        let mut ledger = Ledger::new(0.0);
+        ledger.worths(vec![2.0]);
+        ledger.asked(HERE, 1, 0.0, 0, 0, Some(9));
+        ledger.stands(HERE, 1, 1_000.0, S);
+        ledger.went(HERE, 1, 5_000.0, Some(Cause::Member(S, Why::Drained)));
+        ledger.asked(Origin(1), 7, 5_500.0, 0, 0, Some(9));
+        ledger.stands(Origin(1), 7, 5_600.0, S);
+        ledger.ended(Origin(1), 7, 10_000.0);
+        let account = ledger.finish(20_000.0);
+        assert!((account.asked.sum() - 20.0).abs() < 0.01, "{}", account.asked.sum());
+        assert!((lost(&account) - 3.2).abs() < 0.01);
+        let drained = account.lost.get(&(Cause::Member(S, Why::Drained), 0)).map(Curve::sum);
+        assert!((drained.unwrap() - 1.2).abs() < 0.01, "absence, and the wait after it");
+    }
+
+    #[test]
+    fn records_that_end_are_no_recovery_and_no_loss() {
+        let mut ledger = Ledger::new(0.0);
+        ledger.asked(HERE, 1, 0.0, 0, 0, Some(9));
+        ledger.stands(HERE, 1, 0.0, S);
+        ledger.run_over(HERE, 4_000.0, Cause::NodeCut(HERE));
+        let account = ledger.finish(60_000.0);
+        assert!((account.asked.sum() - 4.0).abs() < 0.01 && lost(&account) == 0.0);
+    }
+
+    #[test]
+    fn what_stood_over_a_gap_counts_once_it_is_heard_of_again() {
+        let mut ledger = Ledger::new(0.0);
+        for id in [1, 2] {
+            ledger.asked(HERE, id, 0.0, 0, 0, Some(id as u32));
+            ledger.stands(HERE, id, 0.0, S);
+        }
+        ledger.doubt(HERE, 3_000.0);
+        ledger.ended(HERE, 1, 10_000.0);
+        let account = ledger.finish(20_000.0);
+        assert!((account.asked.sum() - 13.0).abs() < 0.01, "{}", account.asked.sum());
+        let stood: f64 = account.standing.values().map(Curve::sum).sum();
+        assert!((stood - 13.0).abs() < 0.01, "{stood}");
+    }
+
+    #[test]
+    fn those_turned_away_for_good_cost_a_usual_life_each() {
+        let mut ledger = Ledger::new(0.0);
+        for id in 0..10 {
+            ledger.asked(HERE, id, 0.0, 0, 0, Some(id as u32));
+            ledger.stands(HERE, id, 0.0, S);
+            ledger.ended(HERE, id, 30_000.0);
+        }
+        ledger.asked(HERE, 99, 30_000.0, 0, 0, Some(99));
+        ledger.went(HERE, 99, 30_000.0, None);
+        let account = ledger.finish(200_000.0);
+        let lost = lost(&account);
+        assert!((29.0..=30.1).contains(&lost), "{lost}");
+    }
+}
--- /dev/null
+++ b/crates/standin/src/sockets.rs
@@ -0,0 +1,1 @@
+//! Members and discovery on loopback, for tests with the real program over real sockets.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -174,6 +174,11 @@
         self.pool.seq
     }
 
+    /// A member's number.
+    pub fn member_named(&self, name: &str) -> Option<BackendId> {
+        self.pool.named(name)
+    }
+
     /// Transactions that are not over.
     pub fn transactions(&self) -> usize {
         self.transactions.len()
