--- a/crates/incident/src/analysis.rs
+++ b/crates/incident/src/analysis.rs
@@ -172,16 +172,17 @@
                 );
                 self.doubt(origin, at, what);
             }
-            Step::End => {
-                let last = self.source(origin).last;
-                self.run_over(origin, last, RunEnd::RecordsEnd);
-            }
+            // Whether the node ran again, a later step tells.
+            Step::Over => self.run_over(origin, at, RunEnd::RecordsEnd),
+            Step::End => {}
         }
     }
 
     fn begins(&mut self, origin: Origin, at: f64, header: &Arc<Header>) {
-        let last = self.source(origin).last;
-        self.run_over(origin, last, RunEnd::Cut);
+        if let Some(before) = self.source(origin).runs.last_mut().filter(|run| run.end == RunEnd::RecordsEnd)
+        {
+            before.end = RunEnd::Cut;
+        }
         if self.site.classes.len() < header.site.classes.len()
             || self.site.tenants.len() < header.site.tenants.len()
         {
@@ -437,10 +438,6 @@
         if self.from.is_nan() {
             return Findings { doubts: self.doubts, ..Findings::default() };
         }
-        for at in 0..self.sources.len() {
-            let last = self.sources[at].last;
-            self.run_over(Origin(at), last, RunEnd::RecordsEnd);
-        }
         let rush = std::mem::take(&mut self.rush);
         self.rushes.extend((rush.real).then_some(rush));
         self.tracks.values_mut().for_each(|track| track.end(self.until));
--- a/crates/incident/src/board.rs
+++ b/crates/incident/src/board.rs
@@ -192,7 +192,7 @@
                 let text = format!("clock set back by {:.1} s", by / 1_000.0);
                 self.line(origin, at, "doubt", text, true);
             }
-            Step::End => {}
+            Step::Over | Step::End => {}
         }
         self.now = self.now.max(at);
     }
--- /dev/null
+++ b/crates/ops/src/main.rs
@@ -0,0 +1,101 @@
+//! The operators' program: what the nodes' records hold, as a check, a table, a report or a console.
+
+mod console;
+mod demo;
+mod records;
+mod report;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use hopmoor_record::{Folder, Merged};
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Reads the records that hopmoor nodes keep (`records` in their operator's file) and shows what happened.
+#[derive(Parser)]
+#[command(name = "hopmoor-ops", version, about, max_term_width = 100)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check or export records.
+    #[command(subcommand)]
+    Records(Records),
+    /// Write a report of the incidents in the records: one HTML file, or its findings as JSON.
+    Report(report::Report),
+    /// Show the site as its records tell, live or replayed, in the terminal.
+    Console(console::Console),
+    /// Play a scripted ten-minute incident on stand-ins and record it, to try the other commands on.
+    Demo(demo::Demo),
+    /// Print a script that completes this program's arguments in a shell.
+    Completions {
+        /// Which shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Subcommand)]
+enum Records {
+    /// Read every record; end with 1 and a list if anything is damaged or missing.
+    Verify(records::Verify),
+    /// Write records as lines of JSON or as CSV.
+    Export(records::Export),
+}
+
+/// What ends the program: one message, and nothing else.
+#[derive(Debug)]
+struct Failed(String);
+
+impl From<io::Error> for Failed {
+    fn from(error: io::Error) -> Self {
+        Failed(error.to_string())
+    }
+}
+
+impl From<String> for Failed {
+    fn from(message: String) -> Self {
+        Failed(message)
+    }
+}
+
+/// The folders named, each as one node's.
+fn listed(folders: &[PathBuf]) -> Result<Vec<Folder>, Failed> {
+    folders
+        .iter()
+        .map(|path| {
+            let folder = Folder::list(path)?;
+            if folder.segments.is_empty() {
+                return Err(Failed(format!("{}: no records in it", path.display())));
+            }
+            Ok(folder)
+        })
+        .collect()
+}
+
+fn merged(folders: &[PathBuf]) -> Result<Merged, Failed> {
+    Ok(Merged::new(listed(folders)?))
+}
+
+fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Records(Records::Verify(verify)) => verify.run(),
+        Command::Records(Records::Export(export)) => export.run(),
+        Command::Report(report) => report.run(),
+        Command::Console(console) => console.run(),
+        Command::Demo(demo) => demo.run(),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Args::command(), "hopmoor-ops", &mut io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+    };
+    match done {
+        Ok(code) => code,
+        Err(Failed(message)) => {
+            eprintln!("hopmoor-ops: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/page/src/time.rs
@@ -0,0 +1,83 @@
+//! Times and spans as people read them; all in UTC.
+
+use jiff::Timestamp;
+use jiff::tz::TimeZone;
+
+fn zoned(ms: f64) -> Option<jiff::Zoned> {
+    let stamp = Timestamp::from_millisecond(ms.round() as i64).ok()?;
+    Some(stamp.to_zoned(TimeZone::UTC))
+}
+
+fn format(ms: f64, form: &str) -> String {
+    zoned(ms).map_or_else(|| "?".into(), |time| time.strftime(form).to_string())
+}
+
+/// `12:03:10`.
+pub fn clock(ms: f64) -> String {
+    format(ms, "%H:%M:%S")
+}
+
+/// `12:03:10.123`.
+pub fn clock_ms(ms: f64) -> String {
+    format(ms, "%H:%M:%S%.3f")
+}
+
+/// `2026-12-01 12:03:10`.
+pub fn date_clock(ms: f64) -> String {
+    format(ms, "%Y-%m-%d %H:%M:%S")
+}
+
+/// `2026-12-01T12:03:10.123Z`.
+pub fn stamp(ms: f64) -> String {
+    format(ms, "%Y-%m-%dT%H:%M:%S%.3fZ")
+}
+
+/// Reads a time: RFC 3339, a clock time on the day of `near`, or Unix milliseconds.
+///
+/// # Errors
+/// One line that says what is taken.
+pub fn read(text: &str, near: f64) -> Result<f64, String> {
+    if let Ok(stamp) = text.parse::<Timestamp>() {
+        return Ok(stamp.as_millisecond() as f64);
+    }
+    if let Ok(ms) = text.parse::<f64>()
+        && ms.is_finite()
+    {
+        return Ok(ms);
+    }
+    let time = text.parse::<jiff::civil::Time>().ok();
+    let on_day = time.and_then(|time| zoned(near)?.date().to_datetime(time).to_zoned(TimeZone::UTC).ok());
+    let refused = || format!("'{text}' is no time: give 2026-12-01T12:03:10Z, 12:03:10 or Unix milliseconds");
+    on_day.map(|time| time.timestamp().as_millisecond() as f64).ok_or_else(refused)
+}
+
+/// A span: `340 ms`, `12.4 s`, `3 min 20 s`, `2 h 5 min`.
+pub fn span(ms: f64) -> String {
+    let s = ms / 1_000.0;
+    if s < 1.0 {
+        format!("{ms:.0} ms")
+    } else if s < 60.0 {
+        format!("{s:.1} s")
+    } else if s < 3_600.0 {
+        format!("{:.0} min {:02.0} s", (s / 60.0).floor(), (s % 60.0).floor())
+    } else {
+        format!("{:.0} h {:02.0} min", (s / 3_600.0).floor(), (s % 3_600.0 / 60.0).floor())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn times_are_read_as_they_are_written() {
+        let at = 1_796_126_590_123.0;
+        assert_eq!(stamp(at), "2026-12-01T12:03:10.123Z");
+        for text in ["2026-12-01T12:03:10.123Z", "12:03:10.123", "1796126590123"] {
+            assert_eq!(read(text, at - 3_600_000.0), Ok(at), "{text}");
+        }
+        assert!(read("noon", at).unwrap_err().contains("noon"));
+        assert_eq!(span(340.0), "340 ms");
+        assert_eq!(span(200_400.0), "3 min 20 s");
+    }
+}
--- a/crates/record/src/merge.rs
+++ b/crates/record/src/merge.rs
@@ -26,6 +26,8 @@
     Damaged(PathBuf, Damage),
     /// The clock read earlier than before; what follows is shown so many milliseconds later.
     Shifted(f64),
+    /// A run's records are over; it stands at their last, so that what other nodes saw next comes after it.
+    Over,
     /// The folder's records end.
     End,
 }
@@ -75,7 +77,9 @@
                 // A further segment of the same run changes nothing.
                 Some(Item::Segment(header)) if self.run == Some(header.started) => {}
                 Some(Item::Segment(header)) => {
-                    self.run = Some(header.started);
+                    if self.run.replace(header.started).is_some() {
+                        self.next.push_back((time, Step::Over));
+                    }
                     self.shift = (self.last - header.base).max(0.0);
                     if self.shift > 0.0 {
                         self.next.push_back((time, Step::Shifted(self.shift)));
@@ -93,6 +97,9 @@
                 }
                 None => {
                     self.ended = true;
+                    if self.run.is_some() {
+                        self.next.push_back((time, Step::Over));
+                    }
                     self.next.push_back((time, Step::End));
                 }
             }
--- a/crates/record/src/record.rs
+++ b/crates/record/src/record.rs
@@ -6,9 +6,20 @@
 use serde::{Deserialize, Serialize};
 
 /// A member's number: the same at every node, and after a restart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
 pub struct MemberId(#[serde(with = "postcard::fixint::le")] pub u64);
 
+impl Serialize for MemberId {
+    /// Eight bytes in segments, since numbers are hashes; a number where people read it.
+    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        if to.is_human_readable() {
+            to.serialize_u64(self.0)
+        } else {
+            postcard::fixint::le::serialize(&self.0, to)
+        }
+    }
+}
+
 /// A transaction's number within one run of its node.
 pub type TransactionId = u64;
 
