Test the recorder in the real program over sockets; mark who comes again

Need: what a node records must hold over real sockets, kills and lost folders; ids are new with every connection, so only the wire's marks (again=1, r=1) tell who comes again. Change: stand-in members, discovery and client on loopback (crates/standin::sockets), which tests/node.rs uses in place of its own; the virtual site moves to crates/world; Ask says whether a client was here before, and the ledger pairs returns with the newest absence of class and tenant. A member that is gone keeps its name in the record.

--- a/crates/incident/src/analysis.rs
+++ b/crates/incident/src/analysis.rs
@@ -282,7 +282,7 @@
                 self.classes.entry(class).or_default().transactions += 1;
                 self.tenants.entry(tenant).or_default().transactions += 1;
                 self.of.insert((origin, asked.transaction), (class, tenant));
-                self.ledger.asked(origin, asked.transaction, at, class, tenant, asked.name);
+                self.ledger.asked(origin, asked.transaction, at, class, tenant, asked.coming);
             }
             Event::Answered(answered) => self.answered(origin, at, answered),
             Event::Moved(moved) => {
--- a/crates/incident/src/wants.rs
+++ b/crates/incident/src/wants.rs
@@ -1,21 +1,29 @@
 //! Who wanted a connection when, and who had one: the share of service lost.
 //!
 //! A *want* begins when a client asks and lasts until it ends its connection in good order. In between it may wait,
-//! stand at a member, or be away: rejected, failed, moved or broken off, until it asks again under the same name.
+//! stand at a member, or be away: rejected, failed, moved or broken off, until it asks again.
 //! Each second of a want is worth what its class says. Seconds in which it stands at a member that is neither silent
 //! nor slow are served; all others are lost, and each lost piece bears the cause that the node's record gives.
 //!
+//! Who comes again is known by the mark that clients set on wires that have one; of which client it is, nothing is
+//! told. The one of its class and tenant that went away last is taken: summed over all clients, who is taken for whom
+//! makes no difference, and those that never come again stay apart from those that do.
+//!
 //! What a node can't know is estimated, in one place ([`Ledger::finish`]): clients that went away and were never
 //! heard of again. Part of them would have ended in that time anyway (the usual absence over the usual life); each
 //! that goes beyond that part is taken to have wanted a usual life more.
 
 use crate::curve::{Curve, Scale};
-use hopmoor_record::{MemberId, Origin};
+use hopmoor_record::{Coming, MemberId, Origin};
 use std::collections::BTreeMap;
 
 /// A client that has not come again after this is taken to stay away.
 const AWAY_MS: f64 = 60_000.0;
 
+/// Clients of a class and tenant that are known to be away, at most.
+const MOST_AWAY: usize = 50_000;
+/// So many went away and none came again with a mark: this wire has none.
+const UNMARKED: u64 = 20;
 /// Waiting longer than this without a failed attempt is waiting for room.
 const SET_UP_MS: f64 = 100.0;
 
@@ -63,7 +71,6 @@
 struct Want {
     class: u32,
     tenant: u32,
-    name: Option<u32>,
     at: At,
     /// Up to when it is accounted for.
     settled: f64,
@@ -73,6 +80,13 @@
     doubtful: bool,
 }
 
+/// How a client went away, and so by which mark it is known when it comes again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum How {
+    Turned,
+    Broken,
+}
+
 /// A client that went away.
 #[derive(Clone, Copy, Debug)]
 struct Away {
@@ -82,7 +96,7 @@
     unknown: bool,
 }
 
-type Name = (u32, u32, u32);
+type Kind = (How, u32, u32);
 
 /// How clients of a class that went away came again.
 #[derive(Clone, Copy, Debug, Default)]
@@ -92,6 +106,13 @@
     absence: f64,
 }
 
+impl Returns {
+    /// The usual absence.
+    fn mean(&self) -> f64 {
+        if self.came > 0 { self.absence / self.came as f64 } else { 1_000.0 }
+    }
+}
+
 /// Clients that stood at a member, by class.
 #[derive(Clone, Debug, Default)]
 struct Standing {
@@ -113,10 +134,10 @@
     pub scale: Scale,
     worths: Vec<f64>,
     wants: BTreeMap<(Origin, u64), Want>,
-    away: BTreeMap<Name, Away>,
+    away: BTreeMap<Kind, Vec<Away>>,
     purge_at: f64,
-    never: BTreeMap<(Cause, u32, u32), Curve>,
-    returns: BTreeMap<u32, Returns>,
+    never: BTreeMap<(How, Cause, u32, u32), Curve>,
+    returns: BTreeMap<(How, u32), Returns>,
     standing: BTreeMap<(MemberId, u32), Standing>,
     stood_ms: BTreeMap<u32, (f64, u64)>,
     asked: Curve,
@@ -217,25 +238,29 @@
     }
 
     /// A client asks.
-    pub fn asked(&mut self, origin: Origin, id: u64, at: f64, class: u32, tenant: u32, name: Option<u32>) {
+    pub fn asked(&mut self, origin: Origin, id: u64, at: f64, class: u32, tenant: u32, coming: Coming) {
         self.purge(at);
         let mut want = Want {
             class,
             tenant,
-            name,
             at: At::Asking,
             settled: at,
             since: at,
             cause: Cause::SetUp,
             doubtful: false,
         };
-        if let Some(name) = name
-            && let Some(away) = self.away.remove(&(name, class, tenant))
+        let how = match coming {
+            Coming::First => None,
+            Coming::Retry => Some(How::Turned),
+            Coming::Return => Some(How::Broken),
+        };
+        if let Some(how) = how
+            && let Some(away) = self.away.get_mut(&(how, class, tenant)).and_then(Vec::pop)
         {
             // It has been wanting all the time.
             self.account(class, tenant, away.since, at, Some(away.cause));
             want.cause = away.cause;
-            let returns = self.returns.entry(class).or_default();
+            let returns = self.returns.entry((how, class)).or_default();
             returns.came += 1;
             returns.absence += at - away.since;
         }
@@ -275,7 +300,7 @@
     /// A want whose beginning was lost with other records is known from now on.
     pub fn known(&mut self, origin: Origin, id: u64, asked: f64, class: u32, tenant: u32) {
         if !self.wants.contains_key(&(origin, id)) {
-            self.asked(origin, id, asked, class, tenant, None);
+            self.asked(origin, id, asked, class, tenant, Coming::First);
         }
     }
 
@@ -315,26 +340,28 @@
             want.cause = Cause::Room;
         }
         if let Some(want) = self.take(origin, id, at) {
-            self.goes(want, at, cause, false);
+            let how = if cause.is_none() { How::Turned } else { How::Broken };
+            self.goes(want, at, how, cause, false);
         }
     }
 
-    fn goes(&mut self, want: Want, at: f64, cause: Option<Cause>, unknown: bool) {
-        let cause = cause.unwrap_or(want.cause);
-        // Who has no name can't be known again.
-        let Some(name) = want.name else { return };
-        let away = Away { since: at, cause, unknown };
+    fn goes(&mut self, want: Want, at: f64, how: How, cause: Option<Cause>, unknown: bool) {
+        let away = Away { since: at, cause: cause.unwrap_or(want.cause), unknown };
         if !unknown {
-            self.returns.entry(want.class).or_default().went += 1;
+            self.returns.entry((how, want.class)).or_default().went += 1;
         }
-        if let Some(before) = self.away.insert((name, want.class, want.tenant), away) {
-            self.stays_away((name, want.class, want.tenant), before);
+        let kind = (how, want.class, want.tenant);
+        let all = self.away.entry(kind).or_default();
+        all.push(away);
+        if all.len() > MOST_AWAY {
+            let first = all.remove(0);
+            self.stays_away(kind, first);
         }
     }
 
-    fn stays_away(&mut self, (_, class, tenant): Name, away: Away) {
+    fn stays_away(&mut self, (how, class, tenant): Kind, away: Away) {
         if !away.unknown {
-            let curve = self.never.entry((away.cause, class, tenant)).or_default();
+            let curve = self.never.entry((how, away.cause, class, tenant)).or_default();
             curve.count(&self.scale, away.since, 1.0);
         }
     }
@@ -344,13 +371,12 @@
             return;
         }
         self.purge_at = at + AWAY_MS / 4.0;
-        let old: Vec<_> =
-            self.away.iter().filter(|(_, away)| at - away.since > AWAY_MS).map(|(name, _)| *name).collect();
-        for name in old {
-            if let Some(away) = self.away.remove(&name) {
-                self.stays_away(name, away);
-            }
+        let mut old = Vec::new();
+        for (kind, all) in &mut self.away {
+            let gone = all.partition_point(|away| at - away.since > AWAY_MS);
+            old.extend(all.drain(..gone).map(|away| (*kind, away)));
         }
+        old.into_iter().for_each(|(kind, away)| self.stays_away(kind, away));
     }
 
     /// Records of a node were lost from `since` on: what its clients did after that is not known.
@@ -380,7 +406,7 @@
             if doubtful {
                 self.wants.remove(&(origin, id));
             } else if let Some(want) = self.take(origin, id, at) {
-                self.goes(want, at, Some(cause), true);
+                self.goes(want, at, How::Broken, Some(cause), true);
             }
         }
     }
@@ -394,42 +420,43 @@
             }
         }
         // Those away just now are not given up yet: they have wanted until now.
-        for (name, away) in std::mem::take(&mut self.away) {
-            if away.unknown {
-                continue;
-            }
-            let returns = self.returns.get(&name.1).copied().unwrap_or_default();
-            let usual = if returns.came > 0 { returns.absence / returns.came as f64 } else { 1_000.0 };
-            if at - away.since > 3.0 * usual {
-                self.stays_away(name, away);
-            } else {
-                self.account(name.1, name.2, away.since, at, Some(away.cause));
+        for (kind, all) in std::mem::take(&mut self.away) {
+            let usual = self.returns.get(&(kind.0, kind.1)).copied().unwrap_or_default().mean();
+            for away in all.into_iter().filter(|away| !away.unknown) {
+                if at - away.since > 3.0 * usual {
+                    self.stays_away(kind, away);
+                } else {
+                    self.account(kind.1, kind.2, away.since, at, Some(away.cause));
+                }
             }
         }
-        for ((cause, class, tenant), curve) in std::mem::take(&mut self.never) {
-            let returns = self.returns.get(&class).copied().unwrap_or_default();
-            let absence = if returns.came > 0 { returns.absence / returns.came as f64 } else { 1_000.0 };
+        for ((how, cause, class, tenant), curve) in std::mem::take(&mut self.never) {
+            let returns = self.returns.get(&(how, class)).copied().unwrap_or_default();
+            // Where many went and nobody ever came, clients set no mark: nothing can be said of them.
+            if returns.came == 0 && returns.went >= UNMARKED {
+                continue;
+            }
+            let absence = returns.mean();
             let (stood, ends) = self.stood_ms.get(&class).copied().unwrap_or_default();
             let life = if ends > 0 { stood / ends as f64 } else { 0.0 };
             let never = returns.went.saturating_sub(returns.came) as f64;
             let natural = if life > 0.0 { never.min(returns.went as f64 * absence / life) } else { never };
             let each = (natural * absence / 2.0 + (never - natural) * life) / never.max(1.0);
             let rate = self.worth(class) / 1_000.0;
-            let lost = curve.sum() * rate * each;
-            for sums in [self.by_class.entry(class).or_default(), self.by_tenant.entry(tenant).or_default()] {
-                sums.0 += lost;
-                sums.1 += lost;
-            }
-            // They are put where they went away, and as long after it as each is taken to have wanted.
+            // They are put where they went away, and as long after it as each is taken to have wanted; nothing after
+            // the last record.
+            let mut lost = 0.0;
             let steps = curve.values(crate::curve::MOST, 1.0);
             for (place, count) in steps.iter().enumerate().filter(|(_, count)| **count > 0.0) {
                 let from = self.scale.from + place as f64 * self.scale.step;
-                let until = (from + each).min(at);
-                if until > from {
-                    let rate = f64::from(*count) * rate * each / (until - from);
-                    self.asked.spread(&self.scale, from, until, rate);
-                    self.lost.entry((cause, class)).or_default().spread(&self.scale, from, until, rate);
-                }
+                let (until, rate) = ((from + each).min(at), f64::from(*count) * rate);
+                self.asked.spread(&self.scale, from, until, rate);
+                self.lost.entry((cause, class)).or_default().spread(&self.scale, from, until, rate);
+                lost += rate * (until - from).max(0.0);
+            }
+            for sums in [self.by_class.entry(class).or_default(), self.by_tenant.entry(tenant).or_default()] {
+                sums.0 += lost;
+                sums.1 += lost;
             }
         }
         let standing = self.standing.into_iter().map(|(key, standing)| (key, standing.curve)).collect();
@@ -453,10 +480,10 @@
     fn waiting_and_absence_are_lost_and_standing_is_served() {
         let mut ledger = Ledger::new(0.0);
         ledger.worths(vec![2.0]);
-        ledger.asked(HERE, 1, 0.0, 0, 0, Some(9));
+        ledger.asked(HERE, 1, 0.0, 0, 0, Coming::First);
         ledger.stands(HERE, 1, 1_000.0, S);
         ledger.went(HERE, 1, 5_000.0, Some(Cause::Member(S, Why::Drained)));
-        ledger.asked(Origin(1), 7, 5_500.0, 0, 0, Some(9));
+        ledger.asked(Origin(1), 7, 5_500.0, 0, 0, Coming::Return);
         ledger.stands(Origin(1), 7, 5_600.0, S);
         ledger.ended(Origin(1), 7, 10_000.0);
         let account = ledger.finish(20_000.0);
@@ -469,7 +496,7 @@
     #[test]
     fn records_that_end_are_no_recovery_and_no_loss() {
         let mut ledger = Ledger::new(0.0);
-        ledger.asked(HERE, 1, 0.0, 0, 0, Some(9));
+        ledger.asked(HERE, 1, 0.0, 0, 0, Coming::First);
         ledger.stands(HERE, 1, 0.0, S);
         ledger.run_over(HERE, 4_000.0, Cause::NodeCut(HERE));
         let account = ledger.finish(60_000.0);
@@ -480,7 +507,7 @@
     fn what_stood_over_a_gap_counts_once_it_is_heard_of_again() {
         let mut ledger = Ledger::new(0.0);
         for id in [1, 2] {
-            ledger.asked(HERE, id, 0.0, 0, 0, Some(id as u32));
+            ledger.asked(HERE, id, 0.0, 0, 0, Coming::First);
             ledger.stands(HERE, id, 0.0, S);
         }
         ledger.doubt(HERE, 3_000.0);
@@ -495,11 +522,11 @@
     fn those_turned_away_for_good_cost_a_usual_life_each() {
         let mut ledger = Ledger::new(0.0);
         for id in 0..10 {
-            ledger.asked(HERE, id, 0.0, 0, 0, Some(id as u32));
+            ledger.asked(HERE, id, 0.0, 0, 0, Coming::First);
             ledger.stands(HERE, id, 0.0, S);
             ledger.ended(HERE, id, 30_000.0);
         }
-        ledger.asked(HERE, 99, 30_000.0, 0, 0, Some(99));
+        ledger.asked(HERE, 99, 30_000.0, 0, 0, Coming::First);
         ledger.went(HERE, 99, 30_000.0, None);
         let account = ledger.finish(200_000.0);
         let lost = lost(&account);
--- a/crates/ops/src/console/mod.rs
+++ b/crates/ops/src/console/mod.rs
@@ -79,7 +79,7 @@
 mod tests {
     use super::*;
     use hopmoor_standin::plan::{Act, Plan, What};
-    use hopmoor_standin::site::{BEGAN, play};
+    use hopmoor_world::{BEGAN, play};
     use ratatui::Terminal;
     use ratatui::backend::TestBackend;
 
--- a/crates/ops/src/demo.rs
+++ b/crates/ops/src/demo.rs
@@ -2,7 +2,6 @@
 
 use crate::Failed;
 use hopmoor_standin::plan::Plan;
-use hopmoor_standin::site;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -25,7 +24,7 @@
         // Guards against records of two plays in one folder, which would read as one node's restarts.
         std::fs::create_dir(&self.folder).map_err(about)?;
         let plan = Plan { seed: self.seed, ..Plan::ten_minutes() };
-        let truth = site::play(&plan, Some(&self.folder)).map_err(about)?;
+        let truth = hopmoor_world::play(&plan, Some(&self.folder)).map_err(about)?;
         if self.truth {
             let text = serde_json::to_string_pretty(&truth).map_err(|error| Failed(error.to_string()))?;
             std::fs::write(self.folder.join("truth.json"), text).map_err(about)?;
--- a/crates/ops/src/records.rs
+++ b/crates/ops/src/records.rs
@@ -170,6 +170,7 @@
     "took_ms",
     "class",
     "tenant",
+    "coming",
     "adopted",
     "grace_ms",
     "answer",
--- a/crates/record/benches/codec.rs
+++ b/crates/record/benches/codec.rs
@@ -16,7 +16,7 @@
                     transaction,
                     class,
                     tenant,
-                    name: Some(n as u32),
+                    coming: Coming::First,
                     adopted: false,
                     grace_ms: 1_800.0,
                 }
--- a/crates/record/src/record.rs
+++ b/crates/record/src/record.rs
@@ -258,14 +258,26 @@
     pub class: u32,
     /// Its tenant: a place in the header's tenants.
     pub tenant: u32,
-    /// A hash of what the client calls it, if it does: the same when it comes again.
-    pub name: Option<u32>,
+    /// Whether its client has been here before, as far as its wire has it say so.
+    pub coming: Coming,
     /// Whether it stood at a member before this node began.
     pub adopted: bool,
     /// How long it may be kept waiting.
     pub grace_ms: f32,
 }
 
+/// Whether a client has been here before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Coming {
+    /// For the first time, or it does not say.
+    First,
+    /// It was turned away, or had no answer, and tries once more.
+    Retry,
+    /// Its connection was moved or broke.
+    Return,
+}
+
 /// A final answer.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/standin/src/site.rs
+++ b/crates/world/src/lib.rs
@@ -6,13 +6,13 @@
 //! from its arrival on for an exponential time, whatever happens to it, and comes again after a break, a move or a
 //! reject until that time is over.
 
-use crate::plan::{Act, Plan, What};
-use crate::truth::{Change, Kind, Truth};
-use hopmoor::broker::{Ask, Broker, Command, Counters, Order, Said, TransactionId, recorded_site};
+use hopmoor::broker::{Ask, Broker, Coming, Command, Counters, Order, Said, TransactionId, recorded_site};
 use hopmoor::config::Site as Settled;
 use hopmoor::pool::{Member as Listed, PoolList};
 use hopmoor::{ClassId, Millis, Outcome, Phase, Report, Settings, Tenant, TenantId};
 use hopmoor_record::{Header, Keep, RealDisk, Writer};
+use hopmoor_standin::plan::{self, Act, Plan, What};
+use hopmoor_standin::truth::{Change, Kind, Truth};
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -100,6 +100,8 @@
     tenant: usize,
     until: Millis,
     at: At,
+    /// Whether and how it has been here before.
+    coming: Coming,
     /// Counts its connections.
     epoch: u32,
     /// When its account was last settled.
@@ -133,7 +135,6 @@
     clients: BTreeMap<u64, Client>,
     next_client: u64,
     rush: f64,
-    /// The last connection of each client, so that its transactions can be told apart.
     truth: Truth,
 }
 
@@ -388,21 +389,21 @@
                 self.away(client);
                 self.nodes[node].clients.remove(&id);
                 let wait = ms.max(50.0) * self.between(1.0, 1.2);
-                self.come_again(client, wait);
+                self.come_again(client, wait, Coming::Retry);
             }
             Command::Fail(_) => {
                 self.truth.failed += 1;
                 self.away(client);
                 self.nodes[node].clients.remove(&id);
                 let wait = self.between(300.0, 900.0);
-                self.come_again(client, wait);
+                self.come_again(client, wait, Coming::Retry);
             }
             Command::Move => {
                 self.truth.moved += 1;
                 self.away(client);
                 self.nodes[node].clients.remove(&id);
                 let wait = self.between(40.0, 160.0);
-                self.come_again(client, wait);
+                self.come_again(client, wait, Coming::Return);
             }
             Command::Ready => {}
         }
@@ -463,7 +464,10 @@
         self.next_client += 1;
         let client = self.next_client;
         let (until, settled) = (self.now + life, self.now);
-        self.clients.insert(client, Client { class, tenant, until, at: At::Away, epoch: 0, settled });
+        self.clients.insert(
+            client,
+            Client { class, tenant, until, at: At::Away, coming: Coming::First, epoch: 0, settled },
+        );
         self.truth.clients += 1;
         self.set(until, Due::Leave(client));
         self.ask(client);
@@ -478,10 +482,10 @@
         if of.at != At::Away {
             return;
         }
+        let (class, tenant, coming) = (of.class, of.tenant, of.coming);
         if up.is_empty() {
-            return self.come_again(client, 500.0);
+            return self.come_again(client, 500.0, coming);
         }
-        let (class, tenant) = (of.class, of.tenant);
         let node = up[self.rng.random_range(0..up.len())];
         let Some(id) = self.nodes[node].broker.as_mut().map(Broker::next_id) else { return };
         self.nodes[node].clients.insert(id, client);
@@ -498,12 +502,16 @@
             grace_ms: self.plan.classes[class].grace_ms,
             load_hint: None,
             adopted: None,
+            coming,
             negotiates: false,
         };
         self.hear(node, id, Said::Ask(ask));
     }
 
-    fn come_again(&mut self, client: u64, after: Millis) {
+    fn come_again(&mut self, client: u64, after: Millis, coming: Coming) {
+        if let Some(of) = self.clients.get_mut(&client) {
+            of.coming = coming;
+        }
         self.set(self.now + after, Due::Ask(client));
     }
 
@@ -532,7 +540,7 @@
     fn broken(&mut self, client: u64, least: f64, most: f64) {
         self.away(client);
         let wait = self.between(least, most);
-        self.come_again(client, wait);
+        self.come_again(client, wait, Coming::Return);
     }
 
     fn leave(&mut self, client: u64) {
@@ -865,7 +873,7 @@
 
 /// The settings of a node at such a site: probes are cheap there.
 fn settle(plan: &Plan) -> Settled {
-    let class = |class: &crate::plan::Class| hopmoor::Class {
+    let class = |class: &plan::Class| hopmoor::Class {
         aim_ms: class.aim_ms,
         worth: class.worth,
         message_aim_ms: class.message_aim_ms,
--- a/crates/incident/tests/script.rs
+++ b/crates/world/tests/script.rs
@@ -2,8 +2,8 @@
 use hopmoor_incident::{Findings, IncidentKind, RunEnd, State, analyse};
 use hopmoor_record::{Folder, Merged};
 use hopmoor_standin::plan::{Plan, What};
-use hopmoor_standin::site::{BEGAN, play};
 use hopmoor_standin::truth::{Kind, Truth};
+use hopmoor_world::{BEGAN, play};
 use std::path::Path;
 
 fn found(folder: &Path, plan: &Plan) -> Findings {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -205,8 +205,8 @@
     fn list(&mut self, now: Millis, list: PoolList, scope: ListScope) {
         let (entries, changed) = self.pool.merge(list, scope != ListScope::Patch);
         for (id, name, phase) in changed {
+            self.note_member(now, id, &name, phase);
             self.log(LogLine::Member(name, phase));
-            self.note_member(now, id, phase);
             self.begin_drain(now, id, phase);
         }
         let pool = &self.pool;
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -22,7 +22,7 @@
                 transaction: id.0,
                 class: ask.class.0,
                 tenant: ask.tenant.0,
-                name: ask.name.as_deref().map(|name| crate::pool::name_hash(name) as u32),
+                coming: ask.coming.into(),
                 adopted: ask.adopted.is_some(),
                 grace_ms: ask.grace_ms as f32,
             };
--- a/src/broker/tape.rs
+++ b/src/broker/tape.rs
@@ -129,11 +129,11 @@
         self.timers.set(now + LOOK_MS, Due::Look);
     }
 
-    pub(super) fn note_member(&mut self, now: Millis, id: BackendId, phase: Phase) {
+    pub(super) fn note_member(&mut self, now: Millis, id: BackendId, name: &str, phase: Phase) {
         if let Some(member) = self.pool.member(id) {
             self.tape.note(now, || listed(id, member, phase).into());
         } else {
-            let name = self.pool.name(id);
+            let name = name.to_owned();
             let (member, phase) = (number(id), record::Phase::from(phase));
             let event =
                 record::Member { member, name, phase, zone: 0, weight: 0.0, born: None, again: false };
@@ -251,6 +251,16 @@
     }
 }
 
+impl From<Coming> for record::Coming {
+    fn from(coming: Coming) -> Self {
+        match coming {
+            Coming::First => record::Coming::First,
+            Coming::Retry => record::Coming::Retry,
+            Coming::Return => record::Coming::Return,
+        }
+    }
+}
+
 impl From<Failure> for record::Failure {
     fn from(failure: Failure) -> Self {
         match failure {
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -39,6 +39,7 @@
         grace_ms: 1_000.0,
         load_hint: None,
         adopted: None,
+        coming: Coming::First,
         negotiates: false,
     }
 }
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -24,10 +24,24 @@
     pub load_hint: Option<f64>,
     /// The member that already holds it.
     pub adopted: Option<String>,
+    /// Whether it has been here before, as far as it says.
+    pub coming: Coming,
     /// Setting it up takes several exchanges with the member, which end when the member drains.
     pub negotiates: bool,
 }
 
+/// Whether a client has been here before, as far as its wire has it say so.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Coming {
+    /// For the first time, or it does not say.
+    #[default]
+    First,
+    /// It was turned away, or had no answer, and tries once more.
+    Retry,
+    /// Its connection was moved or broke.
+    Return,
+}
+
 /// What a front says of a transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,7 +8,7 @@
 pub use probe::Probe;
 
 use crate::api::*;
-use crate::broker::{Ask, Bad, Command, Said};
+use crate::broker::{Ask, Bad, Coming, Command, Said};
 use crate::config::Site;
 use crate::front::{BUFFER, Front, Input, Step};
 use crate::pool::name_hash;
@@ -173,6 +173,11 @@
                 if !open.figures_hold() {
                     return self.bad(Bad::Malformed, "malformed first line", shown());
                 }
+                let coming = match (open.field("again"), open.field("r")) {
+                    (Some("1"), _) => Coming::Return,
+                    (_, Some("1")) => Coming::Retry,
+                    _ => Coming::First,
+                };
                 let ask = Ask {
                     name: Some(open.id.into()),
                     class: ClassId(class as u32),
@@ -182,6 +187,7 @@
                     grace_ms: wait - MARGIN_MS,
                     load_hint: open.field("h").and_then(|hint| hint.parse().ok()),
                     adopted: open.field("at").map(str::to_owned),
+                    coming,
                     negotiates: false,
                 };
                 self.line = text.to_owned();
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -7,7 +7,7 @@
 mod xml;
 
 use crate::api::*;
-use crate::broker::{Ask, Bad, Command, Failure, Said};
+use crate::broker::{Ask, Bad, Coming, Command, Failure, Said};
 use crate::front::{BUFFER, Front, Input, Step};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -253,6 +253,7 @@
             grace_ms: self.realm.services[class].1 - MARGIN_MS,
             load_hint: None,
             adopted: None,
+            coming: Coming::First,
             negotiates: true,
         }));
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,6 +1,7 @@
 //! The platform node as a process, between a discovery, a member and clients written here, on loopback.
+use hopmoor_standin::sockets::{Discovery, Member, Stage};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -14,56 +15,23 @@
     command
 }
 
-fn listener() -> (TcpListener, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    (listener, address)
+/// Discovery with these members, each serving with its receipt.
+struct Site {
+    discovery: Discovery,
+    members: Vec<Member>,
+    _stage: Stage,
 }
 
-/// Serves each `OPEN` with this receipt and returns each line that follows.
-fn member(receipt: u32) -> String {
-    let (listener, address) = listener();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            thread::spawn(move || {
-                let mut stream = stream.unwrap();
-                for line in BufReader::new(stream.try_clone().unwrap()).lines() {
-                    let Ok(line) = line else { return };
-                    let answer = match line.split(' ').next() {
-                        Some("OPEN") => format!("UP {receipt}"),
-                        Some("STATS") => "PONG rif=1,lat_ms=2,x0=0.1".to_owned(),
-                        _ => line,
-                    };
-                    if stream.write_all(format!("{answer}\r\n").as_bytes()).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
-/// Answers the first call at once and holds the others.
-fn discovery(list: String) -> String {
-    let (listener, address) = listener();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let list = list.clone();
-            thread::spawn(move || {
-                let mut stream = stream.unwrap();
-                let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
-                while let Some(Ok(line)) = lines.next() {
-                    let whole = line.starts_with("GET /v1/endpoints HTTP");
-                    if whole || line.starts_with("GET ") && line.contains("timeout_ms=1 ") {
-                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
-                        stream.write_all((head + &list).as_bytes()).unwrap();
-                    }
-                }
-            });
-        }
-    });
-    address
+fn site(receipts: &[u32]) -> Site {
+    let stage = Stage::new().unwrap();
+    let discovery = Discovery::start(&stage).unwrap();
+    let member = |(at, receipt): (usize, &u32)| {
+        let member = Member::start(&stage, *receipt).unwrap();
+        discovery.set(&format!("s-{}", at + 1), &member.address(), "Ready");
+        member
+    };
+    let members = receipts.iter().enumerate().map(member).collect();
+    Site { discovery, members, _stage: stage }
 }
 
 struct Node {
@@ -99,14 +67,6 @@
     }
 }
 
-fn listed(members: &[(&str, &str)]) -> String {
-    let host = |(name, dial): &(&str, &str)| {
-        format!(r#"{{"host":"{name}","dial":"{dial}","site":"a","health":"Ready"}}"#)
-    };
-    let hosts: Vec<_> = members.iter().map(host).collect();
-    format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, hosts.join(","))
-}
-
 fn config(discovery: &str) -> String {
     format!(
         r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
@@ -116,8 +76,9 @@
     )
 }
 
-fn start() -> Node {
-    start_with(&discovery(listed(&[("s-1", &member(77))])))
+fn start() -> (Node, Site) {
+    let site = site(&[77]);
+    (start_with(&site.discovery.address()), site)
 }
 
 fn start_with(discovery: &str) -> Node {
@@ -148,7 +109,7 @@
 
 #[test]
 fn a_node_is_ready_serves_relays_moves_and_ends_well() {
-    let mut node = start();
+    let (mut node, _site) = start();
     let connect = || node.connect();
     assert_eq!(talk(&mut connect(), "PING\r\n"), "PONG\r\n");
     let mut client = connect();
@@ -175,7 +136,7 @@
 /// out, and each gets its error or its end in time.
 #[test]
 fn bad_clients_are_turned_away_in_time_and_real_ones_served() {
-    let node = start();
+    let (node, _site) = start();
     let connect = || node.connect().into_inner();
     assert_eq!(talk(&mut BufReader::new(connect()), "PING\r\n"), "PONG\r\n");
     let began = Instant::now();
@@ -221,9 +182,9 @@
 /// file changes nothing; connections are kept.
 #[test]
 fn a_new_configuration_is_taken_while_the_node_serves() {
-    let (first, second) = (member(77), member(88));
-    let old = discovery(listed(&[("s-1", &first)]));
-    let new = discovery(listed(&[("s-1", &first), ("s-2", &second)]));
+    let (old_site, new_site) = (site(&[77]), site(&[77, 88]));
+    new_site.discovery.set("s-1", &old_site.members[0].address(), "Ready");
+    let (old, new) = (old_site.discovery.address(), new_site.discovery.address());
     let node = start_with(&old);
     let mut kept = node.connect();
     assert_eq!(talk(&mut kept, "OPEN 0 2 c=chat,t=acme,d=5000\r\n"), "UP 77\r\n");
--- /dev/null
+++ b/tests/records.rs
@@ -0,0 +1,288 @@
+//! The recorder in the real program, over real sockets: a short incident, a kill, a restart, a folder taken away.
+use hopmoor_incident::{Findings, RunEnd, State, analyse};
+use hopmoor_record::{Event, Folder, Merged};
+use hopmoor_standin::sockets::{Client, Discovery, Member, Stage};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+struct Node {
+    child: Child,
+    address: String,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Node {
+    fn start(operator: &Path) -> Node {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hopmoor"));
+        command.args(["serve", "--operator"]).arg(operator).env_remove("NODE_CONFIG");
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let listening = lines.find(|line| line.as_ref().unwrap().contains("listening")).unwrap().unwrap();
+        let port: String =
+            listening.split("127.0.0.1:").nth(1).unwrap().chars().take_while(char::is_ascii_digit).collect();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = log.clone();
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line))
+        });
+        Node { child, address: format!("127.0.0.1:{port}"), log }
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
+    fn logged(&self, wanted: &str) -> bool {
+        let until = Instant::now() + Duration::from_secs(4);
+        while Instant::now() < until {
+            if self.log.lock().unwrap().iter().any(|line| line.contains(wanted)) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1_000.0
+}
+
+/// Writes the node's configuration and its operator's file; returns the latter, and the folder of records.
+fn set_up(folder: &Path, discovery: &Discovery) -> (PathBuf, PathBuf) {
+    let config = format!(
+        r#"{{"name":"n-1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f",
+            "limits":{{"sockets":1024}},"known":{{"seq":0,"whole":true,"hosts":[]}},
+            "settings":{{"profiles":[{{"name":"chat","effect":"free","aimMs":300,"importance":1}}],
+            "tenants":[{{"name":"acme"}}],"zones":["a"],"discovery":"on_request",
+            "report":{{"how":"probe","fields":["x0"]}},
+            "caps":{{"connectTimeoutMs":250,"probing":true,"mostTries":6,"cancel":true}}}}}}"#,
+        discovery.address()
+    );
+    std::fs::write(folder.join("node.json"), config).unwrap();
+    let records = folder.join("records");
+    std::fs::create_dir(&records).unwrap();
+    let operator = folder.join("operator.json");
+    std::fs::write(&operator, r#"{"config":"node.json","records":{"folder":"records"}}"#).unwrap();
+    (operator, records)
+}
+
+fn found(records: &Path) -> Findings {
+    analyse(Merged::new(vec![Folder::list(records).unwrap()]))
+}
+
+/// What the clients really wanted and got, in milliseconds.
+#[derive(Default)]
+struct Truth {
+    wanted: AtomicU64,
+    served: AtomicU64,
+}
+
+/// One client: it wants its connection for so long, whatever happens to it.
+async fn want(
+    address: String,
+    number: u32,
+    life: Duration,
+    silent: Arc<AtomicU64>,
+    truth: Arc<Truth>,
+    end: Instant,
+) {
+    let until = (Instant::now() + life).min(end);
+    let mut settled = Instant::now();
+    let mut settle = |standing: Option<&str>| {
+        let now = Instant::now().min(until);
+        let passed = now.saturating_duration_since(settled).as_millis() as u64;
+        settled += Duration::from_millis(passed);
+        truth.wanted.fetch_add(passed, Relaxed);
+        // The member whose receipt this is may be silent just now.
+        let receipt = standing.and_then(|up| up.strip_prefix("UP ")).and_then(|up| up.parse::<u64>().ok());
+        if receipt.is_some_and(|receipt| receipt != silent.load(Relaxed)) {
+            truth.served.fetch_add(passed, Relaxed);
+        }
+    };
+    let (mut mark, mut tries) = ("", 0u32);
+    while Instant::now() < until {
+        tries += 1;
+        let line = format!("OPEN {number:x}-{tries} k{number} c=chat,t=acme,d=1500{mark}");
+        let answer = match Client::connect(&address).await {
+            Ok(mut client) => client.ask(&line).await.map(|answer| (client, answer)),
+            Err(error) => Err(error),
+        };
+        settle(None);
+        match answer {
+            Ok((mut client, answer)) if answer.starts_with("UP ") => {
+                while Instant::now() < until {
+                    let slice = tokio::time::timeout(Duration::from_millis(20), client.read()).await;
+                    settle(Some(&answer));
+                    if slice.is_ok() {
+                        break;
+                    }
+                }
+                mark = ",again=1";
+            }
+            Ok(_) => mark = ",r=1",
+            Err(_) => mark = ",again=1",
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[test]
+fn a_short_incident_over_sockets_is_read_from_what_a_killed_node_leaves() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = Stage::new().unwrap();
+    let discovery = Discovery::start(&stage).unwrap();
+    let members: Vec<Member> = (1..=4).map(|receipt| Member::start(&stage, receipt).unwrap()).collect();
+    let set = |at: usize, health| discovery.set(&format!("s-{}", at + 1), &members[at].address(), health);
+    (0..4).for_each(|at| set(at, "Ready"));
+    let (operator, records) = set_up(folder.path(), &discovery);
+    let mut node = Node::start(&operator);
+    let (truth, silent) = (Arc::new(Truth::default()), Arc::new(AtomicU64::new(0)));
+    let began = Instant::now();
+    let end = began + Duration::from_millis(7_000);
+    let (address, clients) = (node.address.clone(), (truth.clone(), silent.clone()));
+    stage.handle().spawn(async move {
+        let mut number = 0;
+        while Instant::now() < end {
+            number += 1;
+            // Lives are as unlike as they come, and the same in each run.
+            let life = Duration::from_millis(400 + u64::from(number * 733 % 1_600));
+            tokio::spawn(want(address.clone(), number, life, clients.1.clone(), clients.0.clone(), end));
+            tokio::time::sleep(Duration::from_millis(15)).await;
+        }
+    });
+    let wait = |ms| {
+        std::thread::sleep((began + Duration::from_millis(ms)).saturating_duration_since(Instant::now()))
+    };
+    let mut done = Vec::new();
+    wait(2_000);
+    done.push((unix_ms(), "s-2", State::Silent, true));
+    silent.store(2, Relaxed);
+    members[1].silent(true);
+    wait(4_000);
+    members[1].silent(false);
+    silent.store(0, Relaxed);
+    done.push((unix_ms(), "s-2", State::Silent, false));
+    wait(4_800);
+    set(2, "Terminating");
+    done.push((unix_ms(), "s-3", State::Draining, true));
+    wait(6_200);
+    set(2, "Gone");
+    members[2].kill();
+    done.push((unix_ms(), "s-3", State::Gone, true));
+    wait(7_000);
+    node.signal("-KILL");
+    let killed = unix_ms();
+    node.child.wait().unwrap();
+    let findings = found(&records);
+    let spans =
+        || findings.members.iter().flat_map(|member| member.spans.iter().map(move |span| (member, span)));
+    for (at, name, state, begins) in &done {
+        let hit = spans().any(|(member, span)| {
+            let edge = if *begins { Some(span.from) } else { span.until };
+            member.name == *name
+                && span.state == *state
+                && edge.is_some_and(|edge| (edge - at).abs() <= 1_000.0)
+        });
+        assert!(hit, "{name} {state:?} {begins} at {at}: {:#?}", findings.members);
+    }
+    let invented =
+        spans().filter(|(_, span)| span.state.is_trouble() || span.state == State::Draining).count();
+    assert_eq!(invented, 2, "{:#?}", findings.incidents);
+    let run = &findings.nodes[0].runs[0];
+    assert!(run.end == RunEnd::RecordsEnd && (run.until - killed).abs() < 500.0, "{run:?} {killed}");
+    let really = 1.0 - truth.served.load(Relaxed) as f64 / truth.wanted.load(Relaxed) as f64;
+    let told = findings.service.share_lost;
+    assert!(really > 0.02 && (really - told).abs() < 0.02, "lost {really:.4}, told {told:.4}");
+
+    // The same folder after a restart; the second run ends in good order.
+    let mut again = Node::start(&operator);
+    again.signal("-TERM");
+    assert!(again.child.wait().unwrap().success());
+    let ends: Vec<_> = found(&records).nodes[0].runs.iter().map(|run| run.end).collect();
+    assert_eq!(ends, [RunEnd::Cut, RunEnd::Stopped]);
+}
+
+/// The folder is removed while the node runs: it goes on serving, says so once, counts what is lost, and records
+/// again when the folder is back.
+#[test]
+fn a_folder_taken_away_costs_records_and_nothing_else() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = Stage::new().unwrap();
+    let discovery = Discovery::start(&stage).unwrap();
+    let member = Member::start(&stage, 5).unwrap();
+    discovery.set("s-1", &member.address(), "Ready");
+    let (operator, records) = set_up(folder.path(), &discovery);
+    let node = Node::start(&operator);
+    let serves = |number: u32| {
+        let address = node.address.clone();
+        let (send, answer) = std::sync::mpsc::channel();
+        stage.handle().spawn(async move {
+            let mut client = Client::connect(&address).await?;
+            let _ = send.send(client.ask(&format!("OPEN {number} k c=chat,t=acme,d=3000")).await?);
+            std::io::Result::Ok(())
+        });
+        answer.recv_timeout(Duration::from_secs(5)).unwrap()
+    };
+    assert_eq!(serves(1), "UP 5");
+    std::fs::remove_dir_all(&records).unwrap();
+    assert!(node.logged("records not written"));
+    assert_eq!(serves(2), "UP 5");
+    std::fs::create_dir(&records).unwrap();
+    assert!(node.logged("records written again"));
+    assert_eq!(serves(3), "UP 5");
+    std::thread::sleep(Duration::from_millis(400));
+    let steps = Folder::list(&records).unwrap().read();
+    let gaps = steps.filter(|item| {
+        matches!(item, hopmoor_record::folder::Item::Record(record) if matches!(&record.event, Event::Gap(gap) if gap.lost > 0 && gap.disk))
+    });
+    assert_eq!(gaps.count(), 1);
+    node.signal("-USR1");
+    assert!(node.logged("records_lost="));
+    let log = node.log.lock().unwrap().join("\n");
+    assert!(!log.contains("records_lost=0") && log.matches("records not written").count() == 1, "{log}");
+}
+
+fn check(operator: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hopmoor")).args(["check", "--operator"]).arg(operator).output().unwrap()
+}
+
+#[test]
+fn bad_settings_are_refused_by_field() {
+    let folder = tempfile::tempdir().unwrap();
+    let stage = Stage::new().unwrap();
+    let (operator, records) = set_up(folder.path(), &Discovery::start(&stage).unwrap());
+    assert!(check(&operator).status.success());
+    assert_eq!(std::fs::read_dir(&records).unwrap().count(), 0, "a check leaves nothing behind");
+    for (bad, field) in [
+        (r#"{"folder":"nowhere"}"#, "records.folder"),
+        (r#"{"folder":"node.json"}"#, "records.folder"),
+        (r#"{"folder":"records","segment_bytes":10}"#, "records.segment_bytes"),
+        (r#"{"folder":"records","segment_bytes":65536,"keep_bytes":65536}"#, "records.keep_bytes"),
+        (r#"{"folder":"records","keep_hours":0}"#, "records.keep_hours"),
+        (r#"{"folder":"records","keep_days":3}"#, "keep_days"),
+        (r#"{}"#, "folder"),
+    ] {
+        std::fs::write(&operator, format!(r#"{{"config":"node.json","records":{bad}}}"#)).unwrap();
+        let output = check(&operator);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            !output.status.success() && said.contains(field) && said.lines().count() == 1,
+            "{bad}: {said}"
+        );
+        let serve =
+            Command::new(env!("CARGO_BIN_EXE_hopmoor")).args(["serve", "--operator"]).arg(&operator).output();
+        assert!(!serve.unwrap().status.success());
+    }
+}
