--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -185,6 +185,64 @@
         }
     }
 
+    /// Whether it can be played.
+    ///
+    /// # Errors
+    /// One line that names the field at fault.
+    pub fn check(&self) -> Result<(), String> {
+        let named = |field: &str, count: usize| match count {
+            0 => Err(format!("{field}: none")),
+            1..=10_000 => Ok(()),
+            _ => Err(format!("{field}: more than 10000")),
+        };
+        named("nodes", self.nodes.len())?;
+        named("members", self.members.len())?;
+        named("classes", self.classes.len())?;
+        named("tenants", self.tenants.len())?;
+        let within = |field: &str, value: f64, least: f64, most: f64| match value >= least && value <= most {
+            true => Ok(()),
+            false => Err(format!("{field}: {value} is not from {least} to {most}")),
+        };
+        within("arrivals_per_s", self.arrivals_per_s, 0.001, 100_000.0)?;
+        within("life_ms", self.life_ms, 1.0, 86_400_000.0)?;
+        within("until_ms", self.until_ms, 1.0, 7.0 * 86_400_000.0)?;
+        for class in &self.classes {
+            within("classes.part", class.part, 0.0, 1.0)?;
+            within("classes.worth", class.worth, 0.0, 1e6)?;
+            within("classes.grace_ms", class.grace_ms, 10.0, 3_600_000.0)?;
+        }
+        for member in &self.members {
+            within("members.slots", f64::from(member.slots), 1.0, 1e9)?;
+        }
+        for act in &self.script {
+            within("script.at_ms", act.at_ms, 0.0, self.until_ms)?;
+            let (member, node, for_ms) = match &act.what {
+                What::Silent { member, for_ms }
+                | What::Slow { member, for_ms, .. }
+                | What::Refusing { member, for_ms }
+                | What::Drain { member, for_ms } => (Some(member), None, *for_ms),
+                What::Kill { member } | What::Start { member } => (Some(member), None, 1.0),
+                What::Rush { factor, for_ms } => {
+                    within("script.factor", *factor, 0.001, 1_000.0)?;
+                    (None, None, *for_ms)
+                }
+                What::KillNode { node } | What::StartNode { node } | What::EndNode { node } => {
+                    (None, Some(node), 1.0)
+                }
+                What::Deafen { node, for_ms } => (None, Some(node), *for_ms),
+            };
+            within("script.for_ms", for_ms, 0.0, 7.0 * 86_400_000.0)?;
+            if let Some(name) = member.filter(|name| !self.members.iter().any(|member| member.name == **name))
+            {
+                return Err(format!("script: no member {name}"));
+            }
+            if let Some(name) = node.filter(|name| !self.nodes.contains(name)) {
+                return Err(format!("script: no node {name}"));
+            }
+        }
+        Ok(())
+    }
+
     /// The same site without any trouble, for so long.
     pub fn calm(until_ms: f64) -> Plan {
         Plan { until_ms, script: Vec::new(), ..Plan::ten_minutes() }
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -126,8 +126,9 @@
     fn start(name: &str, servers: &[Server]) -> Self {
         let folder = std::env::temp_dir().join(format!("hopmoor-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
+        std::fs::create_dir_all(folder.join("records")).unwrap();
         let operator = r#"{"name":"x","listen":"127.0.0.1:0","inventory":"inventory.yaml",
-            "see_other_host":"127.0.0.1:5222","stanza_bytes":10000}"#;
+            "see_other_host":"127.0.0.1:5222","stanza_bytes":10000,"records":{"folder":"records"}}"#;
         std::fs::write(folder.join("xmpp.json"), operator).unwrap();
         let mut node = Node {
             child: Command::new("true").spawn().unwrap(),
@@ -174,6 +175,17 @@
         assert!(done.success());
     }
 
+    /// Kinds of what it has recorded, once that is written.
+    fn recorded(&self) -> Vec<&'static str> {
+        thread::sleep(Duration::from_millis(400));
+        let items = hopmoor_record::Folder::list(&self.folder.join("records")).unwrap().read();
+        let kind = |item| match item {
+            hopmoor_record::folder::Item::Record(record) => Some(record.event.name()),
+            _ => None,
+        };
+        items.filter_map(kind).collect()
+    }
+
     fn client(&self) -> Client {
         let stream = TcpStream::connect(&self.address).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -251,6 +263,10 @@
     assert_eq!(server.connections(), 1);
     let seen = server.seen.lock().unwrap()[0].text();
     assert!(seen.starts_with(HEADER) && seen.contains("<body>bisque</body>"), "{seen}");
+    // The same records as of the other front.
+    let story: Vec<_> =
+        node.recorded().into_iter().filter(|kind| ["asked", "answered", "flow"].contains(kind)).collect();
+    assert_eq!(story, ["asked", "answered", "flow"]);
 }
 
 #[test]
@@ -295,6 +311,7 @@
         }
     }
     assert_eq!(moved, begun);
+    assert_eq!(node.recorded().iter().filter(|kind| **kind == "moved").count(), moved);
     thread::sleep(Duration::from_millis(300));
     for seen in drains.seen.lock().unwrap().iter() {
         assert!(seen.ended.is_some_and(|at| at < told + Duration::from_millis(750)), "ended within 750 ms");
