--- a/crates/incident/src/analysis.rs
+++ b/crates/incident/src/analysis.rs
@@ -9,7 +9,7 @@
 use crate::wants::{self, Cause, Ledger, Why};
 use hopmoor_record::codec::Site;
 use hopmoor_record::merge::Step;
-use hopmoor_record::{Answer, Event, Header, MemberId, Merged, Origin, Outcome, Reason, Record};
+use hopmoor_record::{Answer, Damage, Event, Header, MemberId, Merged, Origin, Outcome, Reason, Record};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -160,8 +160,8 @@
                 let file =
                     path.file_name().map_or_else(String::new, |name| name.to_string_lossy().into_owned());
                 self.doubt(origin, at, format!("{file}: {damage}"));
-                // What the damaged part held is not known, unless it is the torn end of the last run.
-                if at.is_finite() && at > 0.0 {
+                // What the damaged part held is not known. A torn end held one record, and the run ends with it.
+                if !matches!(damage, Damage::Torn { .. }) && at.is_finite() && at > 0.0 {
                     self.ledger.doubt(origin, at);
                 }
             }
--- a/crates/incident/src/board.rs
+++ b/crates/incident/src/board.rs
@@ -77,6 +77,15 @@
         newest.map(|(load, at)| (load, (now - at).max(0.0)))
     }
 
+    /// Its last seconds up to now, the newest last.
+    pub fn recent(&self, now: f64, most: usize) -> Vec<Second> {
+        let since = ((now / 1_000.0).floor() - self.second).clamp(0.0, SECONDS as f64) as usize;
+        let since = if self.seconds.is_empty() { 0 } else { since };
+        let all = self.seconds.iter().copied().chain(std::iter::repeat_n(Second::default(), since));
+        let skip = (self.seconds.len() + since).saturating_sub(most);
+        all.skip(skip).collect()
+    }
+
     fn second(&mut self, at: f64) -> &mut Second {
         let second = (at / 1_000.0).floor();
         let passed =
--- a/crates/ops/src/console/view.rs
+++ b/crates/ops/src/console/view.rs
@@ -52,20 +52,19 @@
     let board = &app.board;
     let now = app.source.now(board);
     let (served, turned) = board.rates();
+    let turned_style = if turned > 0.0 { Style::new().fg(Color::Red) } else { Style::new() };
     let mut line = vec![
         Span::from(format!(" {} ", app.source.word())).bold().reversed(),
-        Span::from(format!(" {} UTC  ", time::clock(now))),
+        Span::from(format!(" {}  served {served:.1}/s  ", time::clock(now))),
+        Span::styled(format!("turned away {turned:.1}/s "), turned_style),
     ];
     for node in &board.nodes {
         let style = if node.running { Style::new().fg(Color::Green) } else { Style::new().fg(Color::Red) };
         line.push(Span::styled(
-            format!("{} {}  ", node.name, if node.running { "up" } else { "down" }),
+            format!(" {} {}", node.name, if node.running { "up" } else { "down" }),
             style,
         ));
     }
-    line.push(Span::from(format!("served {served:.1}/s  ")));
-    let style = if turned > 0.0 { Style::new().fg(Color::Red) } else { Style::new() };
-    line.push(Span::styled(format!("turned away {turned:.1}/s"), style));
     frame.render_widget(Line::from(line), area);
 }
 
@@ -80,10 +79,10 @@
 }
 
 /// The last seconds of a member: how many attempts it served, and whether one failed.
-fn sparkline(row: &Row, width: usize) -> Line<'static> {
+fn sparkline(row: &Row, now: f64, width: usize) -> Line<'static> {
     const BARS: [char; 9] = ['\u{b7}', '▁', '▂', '▃', '▄', '▅', '▆', '▇', '█'];
-    let most = row.seconds.iter().map(|second| second.served + second.failed).max().unwrap_or(0).max(4);
-    let skip = row.seconds.len().saturating_sub(width);
+    let seconds = row.recent(now, width);
+    let most = seconds.iter().map(|second| second.served + second.failed).max().unwrap_or(0).max(4);
     let bar = |second: &Second| {
         let sum = second.served + second.failed;
         let height = if sum == 0 { 0 } else { (usize::from(sum) * 8).div_ceil(usize::from(most)).min(8) };
@@ -95,7 +94,7 @@
         };
         Span::styled(BARS[height].to_string(), style)
     };
-    Line::from(row.seconds.iter().skip(skip).map(bar).collect::<Vec<_>>())
+    Line::from(seconds.iter().map(bar).collect::<Vec<_>>())
 }
 
 fn cell(text: String) -> Cell<'static> {
@@ -123,7 +122,7 @@
             cell(row.open().to_string()),
             cell(load.map_or("-".into(), |(_, age)| time::span(age).replace(" ms", "ms").replace(" s", "s"))),
             cell(message.map_or("-".into(), |ms| format!("{ms:.0} ms"))),
-            Cell::from(sparkline(row, wide)),
+            Cell::from(sparkline(row, now, wide)),
         ])
     });
     let widths = [
@@ -143,7 +142,7 @@
         right("held"),
         right("age"),
         right("message"),
-        Cell::from("served a second (red: failed)"),
+        Cell::from("last seconds"),
     ]);
     let below = rows.len().saturating_sub(first + shown);
     let title = if first > 0 || below > 0 {
--- a/crates/world/tests/script.rs
+++ b/crates/world/tests/script.rs
@@ -69,6 +69,9 @@
     let cut = &findings.nodes[0].runs;
     assert_eq!(cut.iter().map(|run| run.end).collect::<Vec<_>>(), [RunEnd::Cut, RunEnd::Stopped]);
     assert!((cut[0].until - BEGAN - 470_000.0).abs() < 1_000.0, "{cut:?}");
+    let cost =
+        findings.incidents.iter().find(|incident| incident.kind == IncidentKind::NodeCut).unwrap().share;
+    assert!(cost > 0.000_2, "those that stood there came again elsewhere after about a second: {cost}");
     assert!((cut[1].from - BEGAN - 500_000.0).abs() < 1_000.0, "{cut:?}");
     let gaps = &findings.nodes[1].gaps;
     assert!(gaps.len() == 1 && (gaps[0].from - BEGAN - 420_000.0).abs() < 1_000.0, "{gaps:?}");
