--- /dev/null
+++ b/crates/resume/src/keys.rs
@@ -0,0 +1,122 @@
+//! Keys for tokens, from a file as operators keep one:
+//!
+//! ```json
+//! {"seal_with": 2, "keys": [{"id": 1, "secret": "BASE64 of 32 bytes"}, {"id": 2, "secret": "..."}]}
+//! ```
+//!
+//! To rotate, a new key is added at all nodes, then `seal_with` is turned to it, and the old one is taken out once the
+//! last token under it has expired.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Bytes of a key.
+pub const KEY_BYTES: usize = 32;
+/// Keys in a file, at most.
+const MOST: usize = 64;
+
+/// Keys by their numbers. Secrets are never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys {
+    seal_with: u32,
+    keys: BTreeMap<u32, [u8; KEY_BYTES]>,
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ids: Vec<u32> = self.keys.keys().copied().collect();
+        f.debug_struct("Keys").field("seal_with", &self.seal_with).field("ids", &ids).finish()
+    }
+}
+
+/// What is wrong with a file of keys; it names the field and no secret.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyError(pub String);
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for KeyError {}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    seal_with: u32,
+    keys: Vec<RawKey>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawKey {
+    id: u32,
+    secret: String,
+}
+
+impl Keys {
+    /// Reads a file's text.
+    ///
+    /// # Errors
+    /// One line that names the field at fault.
+    pub fn read(json: &[u8]) -> Result<Keys, KeyError> {
+        // serde's own words may quote a secret: only where it went wrong is told.
+        let raw: Raw = serde_json::from_slice(json).map_err(|error| {
+            KeyError(format!("not a file of keys, at line {} column {}", error.line(), error.column()))
+        })?;
+        if raw.keys.len() > MOST {
+            return Err(KeyError(format!("keys: more than {MOST}")));
+        }
+        let mut keys = BTreeMap::new();
+        for (at, key) in raw.keys.iter().enumerate() {
+            let bytes = STANDARD.decode(&key.secret).ok().and_then(|bytes| bytes.try_into().ok());
+            let secret: [u8; KEY_BYTES] = bytes
+                .ok_or_else(|| KeyError(format!("keys[{at}].secret: not the base64 of {KEY_BYTES} bytes")))?;
+            if keys.insert(key.id, secret).is_some() {
+                return Err(KeyError(format!("keys[{at}].id: {} stands there twice", key.id)));
+            }
+        }
+        if !keys.contains_key(&raw.seal_with) {
+            return Err(KeyError(format!("seal_with: no key {}", raw.seal_with)));
+        }
+        Ok(Keys { seal_with: raw.seal_with, keys })
+    }
+
+    /// The key that new tokens are sealed with, and its number.
+    pub(crate) fn sealing(&self) -> (u32, [u8; KEY_BYTES]) {
+        (self.seal_with, self.keys.get(&self.seal_with).copied().unwrap_or_default())
+    }
+
+    /// A key by its number.
+    pub(crate) fn named(&self, id: u32) -> Option<[u8; KEY_BYTES]> {
+        self.keys.get(&id).copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bad_file_is_refused_by_field_and_shows_no_secret() {
+        let good = STANDARD.encode([7; KEY_BYTES]);
+        let file = |keys: &str| format!(r#"{{"seal_with":1,"keys":[{keys}]}}"#);
+        let one = format!(r#"{{"id":1,"secret":"{good}"}}"#);
+        let keys = Keys::read(file(&one).as_bytes()).unwrap();
+        assert!(!format!("{keys:?}").contains('7'), "{keys:?}");
+        for (text, wanted) in [
+            (file(""), "seal_with: no key 1"),
+            (file(&format!("{one},{one}")), "keys[1].id"),
+            (file(r#"{"id":1,"secret":"c2hvcnQ="}"#), "keys[0].secret"),
+            (file(r#"{"id":1,"secret":true}"#), "line 1 column"),
+            ("{".into(), "line 1 column"),
+        ] {
+            let KeyError(said) = Keys::read(text.as_bytes()).unwrap_err();
+            assert!(said.contains(wanted) && !said.contains("c2hvcnQ"), "{text}: {said}");
+        }
+    }
+}
