A client whose answer was lost with records no longer seems to wait until the run ends

Need: read in review: a client that had asked just before a gap, and was answered in it, counted as waiting until its node's run was over. Change: the ledger holds such a want for doubtful, as it does standing ones, until it is heard of again.

--- a/crates/incident/src/wants.rs
+++ b/crates/incident/src/wants.rs
@@ -274,6 +274,7 @@
                 // What it has waited so far is this attempt's doing.
                 want.cause = cause;
                 self.settle(&mut want, at);
+                want.doubtful = false;
             }
             self.wants.insert((origin, id), want);
         }
@@ -290,7 +291,7 @@
             }
             queued = want.cause == Cause::Room;
             self.settle(&mut want, at);
-            (want.at, want.since) = (At::Standing(member), at);
+            (want.at, want.since, want.doubtful) = (At::Standing(member), at, false);
             self.stand(member, want.class, at, 1);
             self.wants.insert((origin, id), want);
         }
@@ -318,6 +319,10 @@
             let stood = self.stood_ms.entry(want.class).or_default();
             stood.0 += (at - want.since).max(0.0);
         }
+        if want.doubtful && want.at == At::Asking {
+            // It may have stood in between: nothing is said of that time.
+            want.settled = at;
+        }
         self.settle(&mut want, at);
         Some(want)
     }
@@ -385,9 +390,12 @@
         for key in ids {
             let Some(mut want) = self.wants.remove(&key) else { continue };
             match want.at {
-                // Its answer may have been lost: it may stand by now, or not.
-                At::Asking => continue,
-                At::Standing(_) if want.doubtful => {}
+                _ if want.doubtful => {}
+                // Its answer may have been lost: without another word it must not seem to wait for ever.
+                At::Asking => {
+                    self.settle(&mut want, since);
+                    want.doubtful = true;
+                }
                 At::Standing(member) => {
                     self.stand(member, want.class, since.max(want.since), -1);
                     self.settle(&mut want, since);
@@ -518,6 +526,16 @@
         assert!((stood - 13.0).abs() < 0.01, "{stood}");
     }
 
+    #[test]
+    fn a_client_whose_answer_was_lost_does_not_wait_for_ever() {
+        let mut ledger = Ledger::new(0.0);
+        ledger.asked(HERE, 1, 0.0, 0, 0, Coming::First);
+        ledger.doubt(HERE, 500.0);
+        ledger.run_over(HERE, 600_000.0, Cause::NodeLeft(HERE));
+        let account = ledger.finish(600_000.0);
+        assert!((lost(&account) - 0.5).abs() < 0.01, "{}", lost(&account));
+    }
+
     #[test]
     fn those_turned_away_for_good_cost_a_usual_life_each() {
         let mut ledger = Ledger::new(0.0);
