Mend the tail on sealed segments, churn under large pools, and a line a batch when short

A console that began on a folder with sealed segments stood still at the first; a pool whose list is larger than a segment had every batch begin a new one; a name too long for a frame stopped all recording; 'records missed' was logged with each batch; with recording off two look-ups were done for nothing. Change: a sealed segment's end is its end; heads do not count towards a segment's size; such a name is left out; one line for as long as records are missed; the tape is asked first.

--- a/crates/record/src/folder.rs
+++ b/crates/record/src/folder.rs
@@ -65,6 +65,7 @@
     file: F,
     path: PathBuf,
     encoder: Encoder,
+    /// Bytes of records; its head, which grows with the pool, does not count.
     bytes: u64,
 }
 
@@ -213,7 +214,8 @@
         let encoder = Encoder::begin(&self.header, &mut bytes).map_err(too_long)?;
         for member in self.members.values() {
             let record = Record { at: base, event: Event::Member(member.clone()) };
-            encoder.record(&record, &mut bytes).map_err(too_long)?;
+            // One whose name fits no frame is left out: it must not keep all others from being recorded.
+            let _ = encoder.record(&record, &mut bytes);
         }
         let gap = self.gap.clone();
         if let Some(gap) = gap {
@@ -239,7 +241,7 @@
             self.notices.push_back(Notice::Recovered(gap.lost));
         }
         self.failing = false;
-        self.open = Some(Open { file, path, encoder, bytes: bytes.len() as u64 });
+        self.open = Some(Open { file, path, encoder, bytes: 0 });
         Ok(())
     }
 
@@ -530,15 +532,11 @@
     pub fn poll(&mut self, most: usize) -> Vec<Item> {
         let mut items = Vec::new();
         while items.len() < most {
-            if let Some((_, open)) = &mut self.at {
-                match open.follow() {
-                    Some(item) => {
-                        items.push(item);
-                        continue;
-                    }
-                    None if open.sealed && !open.ended => break,
-                    None => {}
-                }
+            if let Some((_, open)) = &mut self.at
+                && let Some(item) = open.follow()
+            {
+                items.push(item);
+                continue;
             }
             // At the end of what is written: another segment may have been begun.
             let Ok(listed) = Folder::list(&self.folder) else { break };
@@ -569,6 +567,10 @@
 impl Opened {
     /// As [`Opened::next`], but the end of the file is not taken for the end of the segment.
     fn follow(&mut self) -> Option<Item> {
+        // Nothing is added to a sealed one: its end is its end.
+        if self.sealed {
+            return self.next();
+        }
         let ended_before = self.ended;
         let item = self.next();
         match item {
--- a/crates/record/tests/damage.rs
+++ b/crates/record/tests/damage.rs
@@ -103,7 +103,7 @@
 #[test]
 fn a_damaged_segment_hides_neither_the_next_nor_that_it_is_damaged() {
     let folder = tempfile::tempdir().unwrap();
-    let keep = Keep { segment_bytes: 300, ..Keep::default() };
+    let keep = Keep { segment_bytes: 150, ..Keep::default() };
     let mut writer = Writer::new(RealDisk, folder.path(), keep, header(1_000.0)).unwrap();
     for n in 0..60 {
         writer.write(1_000.0 + n as f64, 0.0, &[asked(1_000.0 + n as f64, n)]);
@@ -211,3 +211,40 @@
     let wanted: Vec<u64> = (0..3).flat_map(|run| (0..40).map(move |n| run * 100 + n)).collect();
     assert_eq!(seen, wanted);
 }
+
+/// A tail that begins late finds sealed segments first, and goes on behind them.
+#[test]
+fn a_tail_from_the_oldest_reads_through_sealed_segments() {
+    let folder = tempfile::tempdir().unwrap();
+    let keep = Keep { segment_bytes: 300, ..Keep::default() };
+    let mut writer = Writer::new(RealDisk, folder.path(), keep, header(1_000.0)).unwrap();
+    let mut write = |n: u64| writer.write(1_000.0 + n as f64, 0.0, &[asked(1_000.0 + n as f64, n)]);
+    (0..60).for_each(&mut write);
+    assert!(Folder::list(folder.path()).unwrap().segments[0].sealed);
+    let mut tail = Tail::new(folder.path(), true).unwrap();
+    let mut read = || tail.poll(1_000).iter().filter(|item| matches!(item, Item::Record(_))).count();
+    assert_eq!(read(), 60);
+    (60..65).for_each(&mut write);
+    assert_eq!(read(), 5);
+}
+
+/// Heads hold the whole pool: a large one must not have each batch begin a new segment. A name that fits no frame is
+/// left out and lets the rest be recorded.
+#[test]
+fn a_large_pool_neither_churns_segments_nor_stops_the_recording() {
+    let folder = tempfile::tempdir().unwrap();
+    let keep = Keep { segment_bytes: 4_096, ..Keep::default() };
+    let mut writer = Writer::new(RealDisk, folder.path(), keep, header(1_000.0)).unwrap();
+    let mut pool: Vec<_> = (0..2_000).map(|number| member(1_000.0, number, Phase::Serving)).collect();
+    if let Event::Member(member) = &mut pool[7].event {
+        member.name = "x".repeat(70_000);
+    }
+    writer.write(1_000.0, 0.0, &pool);
+    for n in 0..100 {
+        writer.write(1_001.0, 0.0, &[asked(1_001.0, n)]);
+    }
+    assert!(Folder::list(folder.path()).unwrap().segments.len() <= 3);
+    let (records, damages) = read(folder.path());
+    assert_eq!(records.iter().filter(|record| record.event.kind() == 9).count(), 100);
+    assert!(damages.is_empty() && writer.lost() == 1, "{damages:?}");
+}
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -76,7 +76,9 @@
         self.counters.served += 1;
         let (request, took_ms, adopted, member) = (t.request, now - t.sent, t.adopted, t.member);
         t.told |= adopted;
-        if let Some(t) = self.transactions.get(&id) {
+        if self.tape.is_on()
+            && let Some(t) = self.transactions.get(&id)
+        {
             self.tape.note(now, || tape::answered(now, t, record::Answer::Served).into());
         }
         if let (true, Some(backend)) = (adopted, member) {
--- a/src/broker/tape.rs
+++ b/src/broker/tape.rs
@@ -36,6 +36,10 @@
 }
 
 impl Tape {
+    pub(super) fn is_on(&self) -> bool {
+        self.on
+    }
+
     pub(super) fn note(&mut self, now: Millis, event: impl FnOnce() -> Said) {
         if !self.on {
             return;
@@ -155,6 +159,9 @@
         stood: bool,
         by_client: bool,
     ) {
+        if !self.tape.on {
+            return;
+        }
         let Some(t) = self.transactions.get(&id) else { return };
         let (Some(member), took_ms) = (t.member, (now - t.sent) as f32) else { return };
         self.tape.note(now, || {
--- a/src/net/recorder.rs
+++ b/src/net/recorder.rs
@@ -143,12 +143,16 @@
     lost: &AtomicU64,
     log: &Logger,
 ) {
+    let mut missing = false;
     for Batch { now, wall, missed, mut records } in batches {
         if let Some((missed, since)) = missed {
-            if writer.lost() == lost.load(Relaxed) {
+            // One line for as long as it goes on: the counter and the gaps tell the rest.
+            if !std::mem::replace(&mut missing, true) {
                 warn!(log, "records missed"; "records" => missed);
             }
             writer.missed(missed, since);
+        } else {
+            missing = false;
         }
         writer.write(now, wall, &records);
         lost.store(writer.lost(), Relaxed);
