--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,6 +59,10 @@
 const FULL_PAUSE_MS: Millis = 200.0;
 /// Part of the allowed load that a cold backend may be sent: chance puts several gateways' sends together.
 const COLD_SHARE: f64 = 0.5;
+/// What a returning client counts for there: a storm brings back at once what stood, some ten spans' arrivals.
+/// Placements in a span are so many at least: one is at hand, and few of the chances drawn are taken up.
+const LEAST_SENDS: f64 = 2.0;
+const LEAST_LOAD: f64 = 0.3; // the least that the mean load is taken for, where it is divided by
 /// A request that so many backends answer with an error is itself at fault.
 const ERRORS_MOST: usize = 3;
 /// Part of the time left that one attempt may take, and the least such time.
@@ -247,10 +251,8 @@
         }
         self.release(now, request.tenant, out);
         if let Some(entry) = self.entries.get(&request.id).filter(|e| e.state == State::Held) {
-            out.push(Action::SetTimer {
-                at: entry.give_up.max(now),
-                id: TimerId(TIMER_REQUESTS + request.id.0),
-            });
+            let id = TimerId(TIMER_REQUESTS + request.id.0);
+            out.push(Action::SetTimer { at: entry.give_up.max(now), id });
         }
     }
 
@@ -261,8 +263,7 @@
         share.priority = share.contract.map_or(share.priority.max(class.worth), |contract| contract.priority);
         let least = if share.least_load > 0.0 { share.least_load } else { f64::INFINITY };
         share.least_load = least.min(request.load());
-        // Batches come once a tick, so the answer is due some ticks early.
-        let give_up = deadline - 4.0 * self.settings.tick_ms;
+        let give_up = deadline - 4.0 * self.settings.tick_ms; // batches come once a tick
         self.entries.insert(request.id, Entry { request, deadline, give_up, ..Entry::default() });
     }
 
@@ -351,7 +352,10 @@
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
         let kin = self.kin(entry.request.group);
-        let gate = self.intake * self.settings.fall_ms;
+        // A gateway that places once in a while would hold a cold backend for shut though all of them together
+        // send it next to nothing.
+        let load = self.mean_load.map_or(1.0, |mean| mean.clamp(LEAST_LOAD, 1.0));
+        let gate = (self.intake * self.settings.fall_ms).max(LEAST_SENDS / self.listed_weight() / load);
         // Where there is trouble, turns are kept closely.
         let turns = if self.calm > UNTROUBLED { NEAR_TURNS } else { NEAR_TURNS_TROUBLED };
         let busy = self.mean_load.map_or(BUSY, |mean| BUSY.min(mean + OVER_MEAN));
@@ -406,8 +410,7 @@
         entry.tried.push(backend);
         // One that takes work and answers nothing must not cost all the time that a client has, while there
         // is another to try.
-        let mut servers = self.servers.iter();
-        let another = servers.any(|(id, server)| server.usable(now) && !entry.tried.contains(id));
+        let another = self.servers.iter().any(|(id, s)| s.usable(now) && !entry.tried.contains(id));
         let wait = if another { (left * WAIT_PART).max(WAIT_LEAST_MS).min(left) } else { left };
         self.occupy(id, 1);
         out.push(Action::Attempt { id, backend, timeout_ms: wait });
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,11 @@
         self.servers.values().filter(|s| s.usable(now)).map(|s| s.capacity).sum()
     }
 
+    /// Listed weight of all that serve, cold or in a pause as they may be.
+    pub(crate) fn listed_weight(&self) -> f64 {
+        self.servers.values().filter(|s| s.info.phase == Phase::Serving).map(Server::size).sum()
+    }
+
     /// Notes a load report.
     pub(crate) fn reported(&mut self, now: Millis, backend: BackendId, report: Option<Report>) {
         let x0 = report.and_then(|r| r.load_over_capacity).filter(|x0| x0.is_finite() && *x0 >= 0.0);
