Wait for discovery's answer for as long as it keeps a call in line

Ruled out: the 5 s waits of standing watches (no call fails once all watch, though changes come each second). Cause: src/net/watch.rs gave up each call 1.2 s after its wait; it was served all the same, for nobody, and asked again. Change: the call that begins a watch is waited for 2.6 s. Calls of a running watch, and at a new address, as before. The test fails without the change ('it was given up').

--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -17,6 +17,10 @@
 const FIRST_WAIT_MS: u64 = 1;
 /// An answer that is this late will not come.
 const LATE: Duration = Duration::from_millis(1_200);
+/// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
+/// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
+/// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer.
+const LATE_IN_LINE: Duration = Duration::from_millis(2_600);
 /// A new address may not answer yet: it is called again after a pause, until so long after it was named.
 const AGAIN: Duration = Duration::from_millis(100);
 const NAMED: Duration = Duration::from_millis(3_000);
@@ -66,7 +70,8 @@
             Some(_) => whole(&authority),
             None => since(&authority, node.broker.borrow().pool_seq(), wait),
         };
-        let limit = Duration::from_millis(wait) + LATE;
+        let late = if first && fresh.is_none() { LATE_IN_LINE } else { LATE };
+        let limit = Duration::from_millis(wait) + late;
         let reply = match tokio::time::timeout(limit, call(&mut stream, address, request)).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(error)) => return error.to_string(),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -246,3 +246,23 @@
     let (code, output) = run(&["check", "--xmpp", file]);
     assert_eq!(code, 0, "{}", String::from_utf8_lossy(&output.stderr));
 }
+
+/// Guards against a call given up while it waits in line at a discovery that all nodes ask at once: it was served for
+/// nobody and asked again, and so the line never ended.
+#[test]
+fn a_call_that_waits_in_line_at_discovery_is_not_given_up() {
+    let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = start_with(&discovery.local_addr().unwrap().to_string());
+    let (mut call, _) = discovery.accept().unwrap();
+    let mut first = [0u8; 512];
+    assert!(call.read(&mut first).unwrap() > 0);
+    thread::sleep(Duration::from_millis(1_900));
+    call.set_nonblocking(true).unwrap();
+    let waiting = call.read(&mut first).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock);
+    assert!(waiting, "it was given up");
+    call.set_nonblocking(false).unwrap();
+    let body = r#"{"seq":5,"whole":true,"hosts":[{"host":"s-9","dial":"127.0.0.1:1","site":"a","block":0,"health":"Ready","share":1.0,"born_ms":0}]}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    call.write_all(answer.as_bytes()).unwrap();
+    assert!(node.logs("pool member").contains("s-9"));
+}
