--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,6 @@
 const FULL_PAUSE_MS: Millis = 200.0;
 /// Part of the allowed load that a cold backend may be sent: chance puts several gateways' sends together.
 const COLD_SHARE: f64 = 0.5;
-/// What a returning client counts for there: a storm brings back at once what stood, some ten spans' arrivals.
 /// Placements in a span are so many at least: one is at hand, and few of the chances drawn are taken up.
 const LEAST_SENDS: f64 = 2.0;
 const LEAST_LOAD: f64 = 0.3; // the least that the mean load is taken for, where it is divided by
@@ -352,8 +351,8 @@
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
         let kin = self.kin(entry.request.group);
-        // A gateway that places once in a while would hold a cold backend for shut though all of them together
-        // send it next to nothing.
+        // A gateway that places once in a while would hold a cold backend for shut, though all of them
+        // together send it next to nothing.
         let load = self.mean_load.map_or(1.0, |mean| mean.clamp(LEAST_LOAD, 1.0));
         let gate = (self.intake * self.settings.fall_ms).max(LEAST_SENDS / self.listed_weight / load);
         // Where there is trouble, turns are kept closely.
