Answer operators' calls: ready, figures, drain and resume

Change: admin (HTTP/1.1, no I/O, httparse) and net::admin with 12 seats of its own, the oldest caller that waits giving way; broker::leaving decides for drain and SIGTERM alike who moves when; counts by class kept where the answer is given and where the last byte of an attempt is written, totals of SIGUSR1 are sums of them. tests/daily.rs: calls beside 500 idle callers and 300 silent clients, figures against clients and members, drain and resume under load, places that can't be had.

--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -405,7 +405,7 @@
                 let wait = self.between(40.0, 160.0);
                 self.come_again(client, wait, Coming::Return);
             }
-            Command::Ready => {}
+            Command::Ready | Command::Unready => {}
         }
     }
 
--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,195 @@
+//! What operators call: one HTTP/1.1 call a connection, as a state machine that is fed bytes (RFC 9112).
+
+use crate::broker::{ClassCounts, Figures};
+use httparse::Status;
+use std::fmt::Write;
+
+/// The longest head that is taken, and the most fields in it.
+pub const HEAD: usize = 8 * 1024;
+const FIELDS: usize = 64;
+
+/// What an operator wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// Whether this process would serve a new client now.
+    Ready,
+    /// The figures.
+    Metrics,
+    /// Take no clients and move those that stand.
+    Drain,
+    /// Take clients again.
+    Resume,
+}
+
+/// Each place with the one method it takes.
+const PLACES: [(&str, &str, Ask); 4] = [
+    ("/-/ready", "GET", Ask::Ready),
+    ("/-/metrics", "GET", Ask::Metrics),
+    ("/-/drain", "PUT", Ask::Drain),
+    ("/-/resume", "PUT", Ask::Resume),
+];
+
+/// A call that is refused without asking the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Not HTTP, or the caller ended before its head was whole.
+    Unreadable,
+    /// Nothing is at that place.
+    Unknown,
+    /// The place takes another method.
+    Method(&'static str),
+    /// The head did not come in time.
+    Late,
+    /// The head is longer than [`HEAD`], or has too many fields.
+    TooLong,
+}
+
+/// One call, as far as it has come.
+#[derive(Debug, Default)]
+pub struct Call {
+    head: Vec<u8>,
+}
+
+impl Call {
+    /// Takes bytes; says what is asked once the head is whole. A body is not looked at: no call here has one.
+    pub fn take(&mut self, bytes: &[u8]) -> Option<Result<Ask, Refused>> {
+        self.head.extend_from_slice(bytes);
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+        let mut request = httparse::Request::new(&mut fields);
+        match request.parse(&self.head) {
+            Ok(Status::Complete(length)) if length > HEAD => Some(Err(Refused::TooLong)),
+            Ok(Status::Complete(_)) => {
+                Some(ask(request.method.unwrap_or_default(), request.path.unwrap_or_default()))
+            }
+            Ok(Status::Partial) if self.head.len() > HEAD => Some(Err(Refused::TooLong)),
+            Ok(Status::Partial) => None,
+            Err(httparse::Error::TooManyHeaders) => Some(Err(Refused::TooLong)),
+            Err(_) => Some(Err(Refused::Unreadable)),
+        }
+    }
+}
+
+fn ask(method: &str, path: &str) -> Result<Ask, Refused> {
+    let path = path.split('?').next().unwrap_or_default();
+    let (_, takes, ask) = PLACES.iter().find(|(place, ..)| *place == path).ok_or(Refused::Unknown)?;
+    if *takes == method { Ok(*ask) } else { Err(Refused::Method(takes)) }
+}
+
+/// A whole answer, after which the connection ends.
+pub fn answer(status: u16, more: &str, body: &str) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        431 => "Request Header Fields Too Large",
+        _ => "Service Unavailable",
+    };
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+         {more}Connection: close\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// The answer to a call that is refused.
+pub fn refusal(why: Refused) -> Vec<u8> {
+    match why {
+        Refused::Unreadable => answer(400, "", "not a readable HTTP/1.1 call\n"),
+        Refused::Unknown => answer(404, "", "known are /-/ready, /-/metrics, /-/drain and /-/resume\n"),
+        Refused::Method(takes) => {
+            answer(405, &format!("Allow: {takes}\r\n"), "another method is taken here\n")
+        }
+        Refused::Late => answer(408, "", "the call did not come in time\n"),
+        Refused::TooLong => answer(431, "", "the head of the call is too long\n"),
+    }
+}
+
+/// The figures as lines `name=value`; `classes` are the names of the classes in the order of their numbers.
+pub fn metrics(classes: &[String], figures: &Figures) -> String {
+    let mut text = String::new();
+    for (name, counts) in classes.iter().zip(&figures.classes) {
+        let ClassCounts { served, refused, failed, attempts } = counts;
+        for (what, count) in
+            [("served", served), ("refused", refused), ("failed", failed), ("attempts", attempts)]
+        {
+            let _ = writeln!(text, "node.requests.{name}.{what}={count}");
+        }
+    }
+    let Figures { in_flight, hosts_known, hosts_excluded, .. } = figures;
+    let _ = write!(
+        text,
+        "node.in_flight={in_flight}\nnode.hosts_known={hosts_known}\nnode.hosts_excluded={hosts_excluded}\n"
+    );
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn whole(text: &[u8]) -> Option<Result<Ask, Refused>> {
+        Call::default().take(text)
+    }
+
+    #[test]
+    fn each_place_takes_its_method_alone() {
+        for (place, method, ask) in PLACES {
+            let call = |method: &str| format!("{method} {place} HTTP/1.1\r\nHost: n\r\n\r\n");
+            assert_eq!(whole(call(method).as_bytes()), Some(Ok(ask)));
+            let other = if method == "GET" { "PUT" } else { "GET" };
+            assert_eq!(whole(call(other).as_bytes()), Some(Err(Refused::Method(method))));
+        }
+        assert_eq!(whole(b"GET /-/reddy HTTP/1.1\r\n\r\n"), Some(Err(Refused::Unknown)));
+        assert_eq!(whole(b"GET /-/ready?a=1 HTTP/1.0\r\n\r\n"), Some(Ok(Ask::Ready)));
+        assert_eq!(whole(b"\x16\x03\x01\x00\r\n\r\n"), Some(Err(Refused::Unreadable)));
+        assert_eq!(whole(b"GET /-/ready HTTP/1.1\r\nHost"), None);
+        let long = format!("GET /-/ready HTTP/1.1\r\nX: {}", "a".repeat(HEAD));
+        assert_eq!(whole(long.as_bytes()), Some(Err(Refused::TooLong)));
+        assert_eq!(whole(format!("{long}\r\n\r\n").as_bytes()), Some(Err(Refused::TooLong)));
+        let many = format!("GET /-/ready HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(FIELDS + 1));
+        assert_eq!(whole(many.as_bytes()), Some(Err(Refused::TooLong)));
+    }
+
+    #[test]
+    fn figures_have_the_names_of_the_classes() {
+        let counts = ClassCounts { served: 812, refused: 2, failed: 1, attempts: 900 };
+        let figures = Figures { classes: vec![counts], in_flight: 14, hosts_known: 9, hosts_excluded: 1 };
+        let text = metrics(&["chat".into()], &figures);
+        assert_eq!(
+            text,
+            "node.requests.chat.served=812\nnode.requests.chat.refused=2\nnode.requests.chat.failed=1\n\
+             node.requests.chat.attempts=900\nnode.in_flight=14\nnode.hosts_known=9\nnode.hosts_excluded=1\n"
+        );
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// However a call is cut, it is what it is in one piece; bytes of any kind are refused and nothing worse.
+        #[test]
+        fn a_call_is_the_same_however_it_is_cut(
+            call in prop_oneof![
+                "(GET|PUT|POST) /-/(ready|metrics|drain|resume|x) HTTP/1\\.[01]\r\n(A: b\r\n){0,3}\r\n".prop_map(String::into_bytes),
+                prop::collection::vec(any::<u8>(), 0..200),
+            ],
+            cuts in prop::collection::vec(1usize..20, 1..200),
+        ) {
+            let wanted = whole(&call);
+            let (mut pieces, mut rest, mut found) = (Call::default(), &call[..], None);
+            for cut in cuts.iter().cycle().take(call.len()) {
+                let (piece, more) = rest.split_at((*cut).min(rest.len()));
+                rest = more;
+                found = pieces.take(piece);
+                if found.is_some() || rest.is_empty() {
+                    break;
+                }
+            }
+            prop_assert_eq!(found, wanted);
+        }
+    }
+}
--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -1,9 +1,59 @@
 //! Counters of what is taken in, sent and answered.
 
 use super::Bad;
-use crate::api::Outcome;
+use crate::api::{ClassId, Outcome};
 use std::fmt;
 
+/// What became of the transactions of one class since the node's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Served by a pool member.
+    pub served: u64,
+    /// Rejected: trying again is harmless.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Attempts whose request was written whole.
+    pub attempts: u64,
+}
+
+/// The counts by class, in the order of their numbers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Classes(Vec<ClassCounts>);
+
+impl Classes {
+    pub(super) fn new(classes: usize) -> Self {
+        Classes(vec![ClassCounts::default(); classes.max(1)])
+    }
+
+    /// Fronts give only classes that are configured.
+    pub(super) fn of(&mut self, class: ClassId) -> &mut ClassCounts {
+        let at = (class.0 as usize).min(self.0.len() - 1);
+        &mut self.0[at]
+    }
+
+    pub(super) fn all(&self) -> &[ClassCounts] {
+        &self.0
+    }
+
+    pub(super) fn sum(&self, of: impl Fn(&ClassCounts) -> u64) -> u64 {
+        self.0.iter().map(of).sum()
+    }
+}
+
+/// What the node shows of itself at this moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Figures {
+    /// By class, in the order of their numbers.
+    pub classes: Vec<ClassCounts>,
+    /// Transactions taken in and not ended: those that wait for their answer, and connections that stand.
+    pub in_flight: usize,
+    /// Members that are listed.
+    pub hosts_known: usize,
+    /// Listed members that nothing new is sent to now: they drain, or the decision module avoids them.
+    pub hosts_excluded: usize,
+}
+
 macro_rules! counters {
     ($($(#[doc = $doc:literal])* $name:ident),* $(,)?) => {
         /// What a node has counted since its start; `open` and `held` are readings of the moment.
@@ -58,6 +108,8 @@
     left,
     /// Server-side flows opened.
     flows,
+    /// Those whose request was written whole.
+    attempts,
     /// Transactions answered by a pool member that serves them.
     served,
     /// Transactions rejected.
@@ -123,8 +175,7 @@
         (Outcome::Unreachable, _) => &mut counters.flows_unreachable,
         (Outcome::Reset, _) => &mut counters.flows_reset,
         (Outcome::Cancelled, _) => &mut counters.flows_cancelled,
-        (Outcome::Ok, _) => &mut counters.served,
-        (Outcome::NotSent, _) => return,
+        (Outcome::Ok, _) | (Outcome::NotSent, _) => return,
     };
     *counter += 1;
 }
--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -26,6 +26,7 @@
         let name = self.pool.name(member);
         let Some(t) = self.transactions.get_mut(&id) else { return };
         t.stage = Stage::Out { connected: false };
+        t.written = false;
         t.flows += 1;
         t.sent = now;
         t.member = Some(member);
@@ -86,6 +87,7 @@
                 self.answer(now, id, Command::Fail(Failure::Broken));
             }
             if let Some(t) = self.forget(id).filter(|_| !stood && outcome == Outcome::Ok) {
+                self.classes.of(t.request.class).served += 1;
                 self.note_answer(now, &t, record::Answer::Served);
             }
         }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod delay;
 mod flows;
+mod leaving;
 mod moves;
 mod pool;
 mod requests;
@@ -15,17 +16,17 @@
 mod timers;
 mod words;
 
-pub use counters::Counters;
+pub use counters::{ClassCounts, Counters, Figures};
 pub use tape::{Taken, site as recorded_site};
 pub use words::*;
 
 use crate::api::*;
 use crate::config::Site;
 use crate::pool::PoolList;
-use counters::count_bad;
+use counters::{Classes, count_bad};
 use delay::Delays;
 use hopmoor_record as record;
-use moves::Spread;
+use leaving::{Leaving, Spread};
 use pool::Pool;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tape::Tape;
@@ -63,6 +64,8 @@
     negotiates: bool,
     committed: bool,
     told: bool,
+    /// The flow's request is written whole.
+    written: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -97,9 +100,12 @@
     handling: bool,
     watching: bool,
     ready: bool,
-    leaving: Option<Spread>,
+    leaving: Leaving,
+    /// A step of it is due.
+    stepping: bool,
     orders: VecDeque<Order>,
     counters: Counters,
+    classes: Classes,
     tape: Tape,
 }
 
@@ -124,9 +130,11 @@
             handling: false,
             watching: false,
             ready: false,
-            leaving: None,
+            leaving: Leaving::Not,
+            stepping: false,
             orders: VecDeque::new(),
             counters: Counters::default(),
+            classes: Classes::new(site.classes.len()),
             tape: Tape::default(),
         };
         broker.list(now, known, ListScope::Stale);
@@ -138,8 +146,33 @@
 
     /// What it has counted so far.
     pub fn counters(&self) -> Counters {
-        let up = self.transactions.values().filter(|t| t.stage == Stage::Up).count() as u64;
-        Counters { open: up, held: self.transactions.len() as u64 - up, ..self.counters.clone() }
+        let open = self.transactions.values().filter(|t| t.stage == Stage::Up).count() as u64;
+        Counters {
+            served: self.classes.sum(|class| class.served),
+            rejected: self.classes.sum(|class| class.refused),
+            failed: self.classes.sum(|class| class.failed),
+            attempts: self.classes.sum(|class| class.attempts),
+            open,
+            held: self.transactions.len() as u64 - open,
+            ..self.counters.clone()
+        }
+    }
+
+    /// What it shows of itself now.
+    pub fn figures(&self, now: Millis) -> Figures {
+        let avoided: BTreeSet<_> = self
+            .balancer
+            .member_views(now)
+            .filter(|view| view.avoided_ms > 0.0)
+            .map(|view| view.member)
+            .collect();
+        let excluded = |id: &BackendId| !self.pool.serving(*id) || avoided.contains(id);
+        Figures {
+            classes: self.classes.all().to_vec(),
+            in_flight: self.transactions.len(),
+            hosts_known: self.pool.members().count(),
+            hosts_excluded: self.pool.members().filter(|(id, _)| excluded(id)).count(),
+        }
     }
 
     /// So many clients without a first line gave way to others.
@@ -147,9 +180,13 @@
         self.counters.bad_crowded_out += clients;
     }
 
-    /// A client was turned away because no descriptor was left.
-    pub fn no_room(&mut self) {
+    /// A client was turned away because no descriptor was left, before or after it had asked.
+    pub fn no_room(&mut self, asked: Option<ClassId>) {
         self.counters.no_room += 1;
+        if let Some(class) = asked {
+            self.counters.asks += 1;
+            self.classes.of(class).refused += 1;
+        }
     }
 
     /// A number for a new client connection.
@@ -192,6 +229,16 @@
         }
     }
 
+    /// Whether the node would serve a new client now: a list is in use, and it neither drains nor ends.
+    pub fn standing_by(&self) -> Result<(), &'static str> {
+        match self.leaving {
+            Leaving::Not if self.ready => Ok(()),
+            Leaving::Not => Err("no list yet"),
+            Leaving::Drain(_) => Err("draining"),
+            Leaving::End(_) => Err("ending"),
+        }
+    }
+
     // ---- Pool ----
 
     /// Discovery has answered.
@@ -277,6 +324,9 @@
     pub fn hear(&mut self, now: Millis, id: TransactionId, said: Said) {
         match said {
             Said::Ask(ask) => self.asked(now, id, ask),
+            Said::Ping if !self.leaving.takes_clients() => {
+                self.orders.push_back(Order::Front(id, Command::Unready))
+            }
             Said::Ping if self.ready => self.orders.push_back(Order::Front(id, Command::Ready)),
             Said::Ping => self.pings.push(id),
             Said::Bad(bad) => count_bad(&mut self.counters, bad),
@@ -287,6 +337,14 @@
                     t.stage = Stage::Out { connected: true };
                 }
             }
+            Said::Sent => {
+                if let Some(t) = self.transactions.get_mut(&id)
+                    && matches!(t.stage, Stage::Out { .. })
+                    && !std::mem::replace(&mut t.written, true)
+                {
+                    self.classes.of(t.request.class).attempts += 1;
+                }
+            }
             Said::Committed => {
                 if let Some(t) = self.transactions.get_mut(&id) {
                     t.committed = true;
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -58,6 +58,7 @@
                 negotiates: ask.negotiates,
                 committed: false,
                 told: holder.is_none(),
+                written: false,
             },
         );
         self.timers.set(deadline, Due::Answer(id));
@@ -73,8 +74,8 @@
             return;
         };
         t.stage = Stage::Up;
-        self.counters.served += 1;
         let (request, took_ms, adopted, member) = (t.request, now - t.sent, t.adopted, t.member);
+        self.classes.of(request.class).served += 1;
         t.told |= adopted;
         if self.tape.is_on()
             && let Some(t) = self.transactions.get(&id)
@@ -128,8 +129,8 @@
             };
             self.note_answer(now, &t, recorded);
             match command {
-                Command::Reject(_) => self.counters.rejected += 1,
-                _ => self.counters.failed += 1,
+                Command::Reject(_) => self.classes.of(class).refused += 1,
+                _ => self.classes.of(class).failed += 1,
             }
             self.orders.push_back(Order::Front(id, command));
         }
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -47,10 +47,12 @@
 pub enum Said {
     /// The client has asked.
     Ask(Ask),
-    /// A readiness check waits for [`Command::Ready`].
+    /// A readiness check waits for [`Command::Ready`] or [`Command::Unready`].
     Ping,
     /// The flow has a connection.
     Connected,
+    /// All that asks the member for it is written.
+    Sent,
     /// Something that the member sent has reached the client: no other member may take over.
     Committed,
     /// The member serves; from now on the transaction is a connection.
@@ -104,6 +106,8 @@
 pub enum Command {
     /// The node is ready.
     Ready,
+    /// The node takes no clients for now.
+    Unready,
     /// Open a server-side flow.
     Open {
         /// Its member's address.
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; none: nowhere.
+    pub admin: Option<SocketAddr>,
     /// Where discovery answers; none if the pool comes from an inventory.
     pub discovery: Option<SocketAddr>,
     /// For random numbers.
@@ -29,6 +31,20 @@
     pub records: Option<Records>,
 }
 
+impl Config {
+    /// Takes what the environment names and the file does not: `NODE_ADMIN`.
+    ///
+    /// # Errors
+    /// One message that names the variable.
+    pub fn take_environment(&mut self, variable: impl Fn(&str) -> Option<String>) -> Result<(), ConfigError> {
+        if self.admin.is_none() {
+            let admin = variable("NODE_ADMIN").filter(|text| !text.is_empty());
+            self.admin = admin.map(|text| address("NODE_ADMIN", &text)).transpose()?;
+        }
+        Ok(())
+    }
+}
+
 /// Where and how much a node records.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Records {
@@ -73,6 +89,7 @@
 struct Raw {
     name: String,
     listen: String,
+    admin: Option<String>,
     discovery: String,
     #[serde(default)]
     seed: String,
@@ -110,6 +127,7 @@
     }
     Ok(Config {
         listen: address("listen", &raw.listen)?,
+        admin: raw.admin.map(|text| address("admin", &text)).transpose()?,
         discovery: Some(address("discovery", &raw.discovery)?),
         seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| crate::pool::name_hash(&raw.seed)),
         sockets: raw.limits.sockets,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Attempt { backend: BackendId(1), .. })));
 //! ```
 
+pub mod admin;
 mod api;
 pub mod broker;
 pub mod config;
--- a/src/main.rs
+++ b/src/main.rs
@@ -71,6 +71,10 @@
             Front::Xmpp(realm, inventory) => (found.config, Speaks::Xmpp(realm, inventory)),
         }),
     };
+    let read = read.and_then(|(mut config, speaks)| {
+        config.take_environment(|name| std::env::var(name).ok())?;
+        Ok((config, speaks))
+    });
     let (config, speaks) = match read {
         Ok(read) => read,
         Err(error) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The drivers: thin, and the only ones that know sockets, clocks and signals. One thread runs them all.
 
+mod admin;
 mod log;
 mod probe;
 mod recorder;
@@ -10,7 +11,7 @@
 
 pub use log::logger;
 
-use crate::api::{BackendId, Millis, Outcome};
+use crate::api::{BackendId, ClassId, Millis, Outcome};
 use crate::broker::{Broker, Command, LogLine, Order, Said, TransactionId};
 use crate::config::Config;
 use crate::front::{Front, Input};
@@ -71,6 +72,8 @@
     log: Logger,
     broker: RefCell<Broker>,
     seats: RefCell<Seats>,
+    /// Descriptors that are not for the seats: those of operators' calls.
+    kept_back: usize,
     /// Holds the lines about bad input to a rate.
     gate: RefCell<log::Gate>,
     probes: RefCell<HashMap<BackendId, mpsc::Sender<SocketAddr>>>,
@@ -172,8 +175,8 @@
         }
     }
 
-    fn no_room(&self, id: TransactionId, peer: SocketAddr) {
-        self.broker.borrow_mut().no_room();
+    fn no_room(&self, id: TransactionId, peer: SocketAddr, asked: Option<ClassId>) {
+        self.broker.borrow_mut().no_room(asked);
         if self.may_log() {
             warn!(self.log, "too many connections"; "transaction" => id.0, "client" => %peer);
         }
@@ -210,7 +213,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
         let listener = listen(config.listen)?;
-        run(config, speaks, listener, log).await
+        let admin = config.admin.map(admin::bind).transpose()?;
+        run(config, speaks, listener, admin, log).await
     }))
 }
 
@@ -224,11 +228,17 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves on a listener that is there already.
+/// Serves on listeners that are there already: the clients', and the operators' if there is one.
 ///
 /// # Errors
 /// If signals can't be had.
-pub async fn run(config: Config, speaks: Speaks, listener: TcpListener, log: Logger) -> io::Result<()> {
+pub async fn run(
+    config: Config,
+    speaks: Speaks,
+    listener: TcpListener,
+    admin: Option<TcpListener>,
+    log: Logger,
+) -> io::Result<()> {
     let clock = Clock::new();
     let mut broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
     let recorder = match &config.records {
@@ -238,11 +248,13 @@
         }
         None => None,
     };
+    let kept_back = if admin.is_some() { admin::SEATS } else { 0 };
     let node = Rc::new(Node {
         clock,
         log,
         broker: RefCell::new(broker),
-        seats: RefCell::new(Seats::new(config.sockets)),
+        seats: RefCell::new(Seats::new(config.sockets.saturating_sub(kept_back))),
+        kept_back,
         gate: RefCell::default(),
         probes: RefCell::default(),
         discovery: std::cell::Cell::new(config.discovery),
@@ -259,6 +271,10 @@
     let mut hangup = signal(SignalKind::hangup())?;
     info!(node.log, "listening"; "node" => &config.name, "address" => %listener.local_addr()?,
         "version" => env!("CARGO_PKG_VERSION"));
+    if let Some(admin) = admin {
+        info!(node.log, "operators may call"; "address" => %admin.local_addr()?);
+        tokio::task::spawn_local(admin::accept(node.clone(), admin, config.site.classes.clone()));
+    }
     node.with(|_, _| ()); // what the known list brought about
     tokio::task::spawn_local(timers(node.clone()));
     if node.recorder.is_some() {
@@ -352,7 +368,7 @@
         let mut front = front(node.clock.now());
         if !room {
             // Not even silent ones are left to give way: the client is turned away at once.
-            node.no_room(id, peer);
+            node.no_room(id, peer, None);
             front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
             let _ = client.try_write(front.to_client());
             continue;
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -45,6 +45,7 @@
     let waits: Vec<&str> = [
         ("name", old.name != new.name),
         ("listen", old.listen != new.listen),
+        ("admin", new.admin.is_some() && old.admin != new.admin),
         ("settings", old.site != new.site),
     ]
     .into_iter()
@@ -53,7 +54,7 @@
     let discovery = new.discovery.map_or_else(String::new, |address| address.to_string());
     info!(node.log, "configuration taken"; "discovery" => discovery, "sockets" => new.sockets,
         "waits_for_restart" => waits.join(" "));
-    node.seats.borrow_mut().resize(new.sockets);
+    node.seats.borrow_mut().resize(new.sockets.saturating_sub(node.kept_back));
     old.sockets = new.sockets;
     old.discovery = new.discovery;
     node.with(|broker, now| broker.reloaded(now, true));
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::mpsc::UnboundedSender;
 
-/// Descriptors that are no connection of a client, a member or discovery: streams, the listener, the runtime's.
+/// Descriptors that are no connection of a client, a member, discovery or an operator: streams, listeners, the runtime's.
 const BASE: usize = 20;
 /// Part of all descriptors that clients without a first line may hold, and as much those with their last word.
 const PART: usize = 8;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use super::seats::FULL_MS;
-use crate::api::Millis;
+use crate::api::{ClassId, Millis};
 use crate::broker::{Command, Said, TransactionId};
 use crate::front::{Front, Input, Step};
 use slog::info;
@@ -100,11 +100,11 @@
 }
 
 /// Whether there is room for the transaction that the client asks for.
-fn seated(node: &Rc<Node>, id: TransactionId, peer: SocketAddr) -> bool {
+fn seated(node: &Rc<Node>, id: TransactionId, peer: SocketAddr, class: ClassId) -> bool {
     let (room, gave_way) = node.seats.borrow_mut().open(id);
     node.gave_way(gave_way);
     if !room {
-        node.no_room(id, peer);
+        node.no_room(id, peer, Some(class));
     }
     room
 }
@@ -124,7 +124,9 @@
         while let Some(step) = front.step() {
             match step {
                 Step::Say(said) => {
-                    if matches!(said, Said::Ask(_)) && !seated(node, id, peer) {
+                    if let Said::Ask(ask) = &said
+                        && !seated(node, id, peer, ask.class)
+                    {
                         front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
                     } else {
                         node.hear(id, said);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -33,6 +33,7 @@
 #[serde(deny_unknown_fields)]
 struct RawPlatform {
     config: PathBuf,
+    admin: Option<String>,
     records: Option<RawRecords>,
 }
 
@@ -77,6 +78,7 @@
 struct RawXmpp {
     name: String,
     listen: String,
+    admin: Option<String>,
     inventory: PathBuf,
     team: Option<String>,
     see_other_host: Option<String>,
@@ -114,12 +116,16 @@
         let raw: RawPlatform = serde_json::from_slice(&json).map_err(|error| about(&error))?;
         let file = above.join(&raw.config);
         let mut config = config::read(&file)?;
+        if let Some(text) = &raw.admin {
+            config.admin = Some(address("admin", text).map_err(|error| about(&error))?);
+        }
         config.records =
             raw.records.map(|records| records.check(above)).transpose().map_err(|error| about(&error))?;
         return Ok(Operator { config, front: Front::Platform(file) });
     }
     let raw: RawXmpp = serde_json::from_slice(&json).map_err(|error| about(&error))?;
     let listen = address("listen", &raw.listen).map_err(|error| about(&error))?;
+    let admin = raw.admin.map(|text| address("admin", &text)).transpose().map_err(|error| about(&error))?;
     let file = above.join(&raw.inventory);
     let inventory = inventory::read(&file).map_err(|error| ConfigError(error.to_string()))?;
     let team = match &raw.team {
@@ -142,6 +148,7 @@
         seed: name_hash(&raw.name) ^ unix.as_nanos() as u64,
         name: raw.name,
         listen,
+        admin,
         discovery: None,
         sockets: raw.sockets,
         site: site(&inventory, raw.connect_timeout_ms),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -208,6 +208,8 @@
                 self.due = Some(now + SILENT_MS);
                 self.first_line();
             }
+            // Anything but `PONG` is a no.
+            (Command::Unready, State::Ping) => self.finish("ERR Unready"),
             (Command::Open { dial, wait_ms, .. }, State::Held) => {
                 if let Some(First::Open(open)) = parse::first(&self.line) {
                     self.to_server = open.line(wait_ms.max(1.0) as u64).into_bytes();
@@ -441,6 +443,7 @@
             Input::ServerWritten => {
                 if let State::Opening { written } = &mut self.state {
                     *written = true;
+                    self.say(Said::Sent);
                 }
             }
             Input::ServerEnd => self.server_end(now, false),
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -363,7 +363,7 @@
 
     fn command(&mut self, command: Command) {
         match (command, self.state) {
-            (_, State::Over) | (Command::Ready, _) => {}
+            (_, State::Over) | (Command::Ready | Command::Unready, _) => {}
             (Command::Open { dial, .. }, State::Held) => {
                 self.state = State::Negotiating;
                 self.silent = true;
@@ -436,6 +436,7 @@
                     _ => {}
                 }
             }
+            Input::ServerWritten if self.state == State::Negotiating => self.say(Said::Sent),
             Input::ServerOpen | Input::ServerWritten | Input::Tick => {}
         }
     }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -1,112 +1,13 @@
 //! The platform node as a process, between a discovery, a member and clients written here, on loopback.
-use hopmoor_standin::sockets::{Discovery, Member, Stage};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{Receiver, channel};
+#[path = "common/node.rs"]
+mod process;
+
+use process::*;
+use std::io::{BufReader, Read, Write};
+use std::process::Output;
 use std::thread;
 use std::time::{Duration, Instant};
 
-fn hopmoor() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_hopmoor"));
-    command.env_remove("NODE_CONFIG");
-    command
-}
-
-/// Discovery with these members, each serving with its receipt.
-struct Site {
-    discovery: Discovery,
-    members: Vec<Member>,
-    _stage: Stage,
-}
-
-fn site(receipts: &[u32]) -> Site {
-    let stage = Stage::new().unwrap();
-    let discovery = Discovery::start(&stage).unwrap();
-    let member = |(at, receipt): (usize, &u32)| {
-        let member = Member::start(&stage, *receipt).unwrap();
-        discovery.set(&format!("s-{}", at + 1), &member.address(), "Ready");
-        member
-    };
-    let members = receipts.iter().enumerate().map(member).collect();
-    Site { discovery, members, _stage: stage }
-}
-
-struct Node {
-    child: Child,
-    address: String,
-    file: PathBuf,
-    log: Receiver<String>,
-}
-
-impl Node {
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
-    }
-
-    fn logs(&self, wanted: &str) -> String {
-        let mut lines = self.log.iter();
-        lines.find(|line| line.contains(wanted)).unwrap_or_else(|| panic!("no line with {wanted}"))
-    }
-
-    fn connect(&self) -> BufReader<TcpStream> {
-        let stream = TcpStream::connect(&self.address).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        BufReader::new(stream)
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-fn config(discovery: &str) -> String {
-    format!(
-        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{{"seq":0,"whole":true,"hosts":[]}},
-            "settings":{{"profiles":[{{"name":"chat","effect":"free"}}],"tenants":[{{"name":"acme"}}],
-            "zones":["a"],"discovery":"on_request","caps":{{"connectTimeoutMs":250}}}}}}"#
-    )
-}
-
-fn start() -> (Node, Site) {
-    let site = site(&[77]);
-    (start_with(&site.discovery.address()), site)
-}
-
-fn start_with(discovery: &str) -> Node {
-    static STARTED: AtomicU32 = AtomicU32::new(0);
-    let number = STARTED.fetch_add(1, Ordering::Relaxed);
-    let file = std::env::temp_dir().join(format!("hopmoor-node-{}-{number}.json", std::process::id()));
-    std::fs::write(&file, config(discovery)).unwrap();
-    let mut child = hopmoor().arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    while !line.contains("listening") {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0, "the node did not start");
-    }
-    let port = line.split("127.0.0.1:").nth(1).unwrap();
-    let port: String = port.chars().take_while(char::is_ascii_digit).collect();
-    let (send, receive) = channel();
-    thread::spawn(move || log.lines().map_while(Result::ok).all(|line| send.send(line).is_ok()));
-    Node { child, address: format!("127.0.0.1:{port}"), file, log: receive }
-}
-
-fn talk(stream: &mut BufReader<TcpStream>, line: &str) -> String {
-    stream.get_mut().write_all(line.as_bytes()).unwrap();
-    let mut answer = String::new();
-    stream.read_line(&mut answer).unwrap();
-    answer
-}
-
 #[test]
 fn a_node_is_ready_serves_relays_moves_and_ends_well() {
     let (mut node, _site) = start();
