--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -374,6 +374,7 @@
                     self.set(sent + wait, Due::Probe { node, run, member, sent });
                 }
             }
+            Order::Opened => {}
             Order::Watch(_) | Order::Fetch => self.set(self.now + LIST_MS, Due::List { node, run }),
             Order::Log(_) => {}
         }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -223,7 +223,9 @@
 
     /// Nothing waits any more for the first word of discovery.
     pub fn set_ready(&mut self) {
-        self.ready = true;
+        if !std::mem::replace(&mut self.ready, true) {
+            self.orders.push_back(Order::Opened);
+        }
         for id in std::mem::take(&mut self.pings) {
             self.orders.push_back(Order::Front(id, Command::Ready));
         }
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -143,6 +143,8 @@
     Watch(bool),
     /// Fetch the whole list once.
     Fetch,
+    /// The node is ready for its first client.
+    Opened,
     /// Write a log line.
     Log(LogLine),
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,9 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The descriptor of a socket on which clients connect, passed down by whoever started the process; none: the node
+    /// listens for itself.
+    pub passed_socket: Option<i32>,
     /// Where operators call; none: nowhere.
     pub admin: Option<SocketAddr>,
     /// Where discovery answers; none if the pool comes from an inventory.
@@ -32,15 +35,20 @@
 }
 
 impl Config {
-    /// Takes what the environment names and the file does not: `NODE_ADMIN`.
+    /// Takes what the environment names and the file does not: `NODE_ADMIN` and `NODE_PASSED_SOCKET`.
     ///
     /// # Errors
     /// One message that names the variable.
     pub fn take_environment(&mut self, variable: impl Fn(&str) -> Option<String>) -> Result<(), ConfigError> {
+        let variable = |name| variable(name).filter(|text| !text.is_empty());
         if self.admin.is_none() {
-            let admin = variable("NODE_ADMIN").filter(|text| !text.is_empty());
-            self.admin = admin.map(|text| address("NODE_ADMIN", &text)).transpose()?;
+            self.admin = variable("NODE_ADMIN").map(|text| address("NODE_ADMIN", &text)).transpose()?;
         }
+        let number = |text: String| {
+            let bad = |_| ConfigError(format!("NODE_PASSED_SOCKET: '{text}' is not a descriptor's number"));
+            text.parse().map_err(bad)
+        };
+        self.passed_socket = variable("NODE_PASSED_SOCKET").map(number).transpose()?;
         Ok(())
     }
 }
@@ -127,6 +135,7 @@
     }
     Ok(Config {
         listen: address("listen", &raw.listen)?,
+        passed_socket: None,
         admin: raw.admin.map(|text| address("admin", &text)).transpose()?,
         discovery: Some(address("discovery", &raw.discovery)?),
         seed: u64::from_str_radix(&raw.seed, 16).unwrap_or_else(|_| crate::pool::name_hash(&raw.seed)),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -82,6 +82,9 @@
     /// Discovery is to be asked at another address.
     redirected: Notify,
     watch: Notify,
+    /// The node is ready, and has been told to end.
+    opened: Notify,
+    closed: Notify,
     watching: std::cell::Cell<bool>,
     /// Wakes the timer driver when an earlier time was set.
     timers: Notify,
@@ -124,6 +127,7 @@
                 self.watch.notify_one();
             }
             Order::Fetch => self.watch.notify_one(),
+            Order::Opened => self.opened.notify_one(),
             Order::Log(line) => self.write(line),
         }
     }
@@ -212,7 +216,10 @@
 pub fn serve(config: Config, speaks: Speaks, log: Logger) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
-        let listener = listen(config.listen)?;
+        let listener = match config.passed_socket {
+            Some(number) => TcpListener::from_std(hopmoor_passed::listener(number)?)?,
+            None => listen(config.listen)?,
+        };
         let admin = config.admin.map(admin::bind).transpose()?;
         run(config, speaks, listener, admin, log).await
     }))
@@ -260,6 +267,8 @@
         discovery: std::cell::Cell::new(config.discovery),
         redirected: Notify::new(),
         watch: Notify::new(),
+        opened: Notify::new(),
+        closed: Notify::new(),
         watching: std::cell::Cell::new(false),
         timers: Notify::new(),
         keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
@@ -284,6 +293,7 @@
         Some(_) => drop(tokio::task::spawn_local(watch::watch(node.clone(), config.site.zones.clone()))),
         None => node.with(|broker, _| broker.set_ready()),
     }
+    let passed = config.passed_socket.is_some();
     let mut source;
     let front: Box<dyn Fn(Millis) -> Box<dyn Front>> = match speaks {
         Speaks::Platform(file) => {
@@ -297,7 +307,7 @@
             Box::new(move |now| Box::new(xmpp::Session::new(now, realm.clone())))
         }
     };
-    tokio::task::spawn_local(accept(node.clone(), listener, front));
+    tokio::task::spawn_local(accept(node.clone(), listener, front, passed));
     let late = node.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(READY_MS)).await;
@@ -311,20 +321,26 @@
             _ = interrupt.recv() => break,
         }
     }
-    leave(&node).await;
+    leave(&node, passed).await;
     recorder::finish(&node);
     node.print_counters("exit");
     Ok(())
 }
 
 /// Goes on serving while clients are moved, and ends when none is left.
-async fn leave(node: &Rc<Node>) {
+async fn leave(node: &Rc<Node>, passed: bool) {
     let began = node.clock.now();
+    if passed {
+        // Another process accepts on the same queue: what is not accepted yet is for that one.
+        node.closed.notify_one();
+    }
+    // Nobody else takes new connections of a node that listens for itself.
+    let linger = if passed { 0.0 } else { LINGER_MS };
     info!(node.log, "leaving"; "transactions" => node.broker.borrow().transactions());
     node.with(|broker, now| broker.leave(now, now + LEAVE_MS));
     while node.clock.now() < began + END_MS {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        let over = node.clock.now() > began + LINGER_MS;
+        let over = node.clock.now() > began + linger;
         if over && node.broker.borrow().transactions() == 0 && node.seats.borrow().is_empty() {
             break;
         }
@@ -351,9 +367,24 @@
     }
 }
 
-async fn accept(node: Rc<Node>, listener: TcpListener, front: Box<dyn Fn(Millis) -> Box<dyn Front>>) {
+/// Accepts clients; on a listener that was passed down only while this process is ready and does not end, as another
+/// may accept on it as well.
+async fn accept(
+    node: Rc<Node>,
+    listener: TcpListener,
+    front: Box<dyn Fn(Millis) -> Box<dyn Front>>,
+    passed: bool,
+) {
+    if passed {
+        node.opened.notified().await;
+    }
     loop {
-        let (client, peer): (_, SocketAddr) = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            () = node.closed.notified() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (client, peer): (_, SocketAddr) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 warn!(node.log, "accept failed"; "error" => %error);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -148,6 +148,7 @@
         seed: name_hash(&raw.name) ^ unix.as_nanos() as u64,
         name: raw.name,
         listen,
+        passed_socket: None,
         admin,
         discovery: None,
         sockets: raw.sockets,
--- a/tests/common/node.rs
+++ b/tests/common/node.rs
@@ -97,7 +97,7 @@
     (node, format!("127.0.0.1:{}", port(&line)))
 }
 
-fn port(line: &str) -> String {
+pub fn port(line: &str) -> String {
     let port = line.split("127.0.0.1:").nth(1).unwrap();
     port.chars().take_while(char::is_ascii_digit).collect()
 }
