--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,11 @@
   --config FILE     read this file instead of the one that NODE_CONFIG names
   --operator FILE   be a node set up by this operator's file
   --xmpp FILE       the same, as older set-ups have it
+
+environment:
+  NODE_CONFIG         the node's configuration
+  NODE_ADMIN          where operators call, unless the file says so
+  NODE_PASSED_SOCKET  a descriptor on which clients connect, in place of a listener
 ";
 
 fn main() -> ExitCode {
