Let a newcomer claim its equal part, and ask all members where nodes are few

Seen in the log of n0: the new process put the returning clients on s-, which shed them (19 resets at 16.3 to 17.0 s), while the old one had none there. The new one asks members for their load as often as it places: not at all before its clients come.

Change: for its first 10 s a node asks all members, unless nodes are more than members; for as long a gateway that took no connections over takes its equal part for its own.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -36,6 +36,10 @@
 const ADOPT_PAUSE_MS: Millis = 500.0;
 /// Attempts of one transaction, whatever the settings say.
 const MOST_FLOWS: u32 = 6;
+/// A node that has just started knows no member's load, and places what comes on those that it likes best: the clients
+/// of the process before it, all at once. For so long it asks all members, unless nodes are more than members: there
+/// each node's clients are few, and members would hear of nothing but probes.
+const LOOK_ROUND_MS: Millis = 10_000.0;
 /// How often members that hold connections are asked how long a message takes there.
 const MEASURE_MS: Millis = 1_000.0;
 
@@ -93,6 +97,8 @@
     pings: Vec<TransactionId>,
     pool: Pool,
     delays: Delays,
+    looks_round_until: Millis,
+    nodes: usize,
     /// Members with a probe out, and whether the module waits for it.
     probes: BTreeMap<BackendId, bool>,
     timers: Timers<Due>,
@@ -118,6 +124,8 @@
             connect_ms: settings.connect_timeout_ms,
             most_flows: settings.most_tries.clamp(1, MOST_FLOWS),
             delays,
+            looks_round_until: now + LOOK_ROUND_MS,
+            nodes: settings.balancers as usize,
             probes: BTreeMap::new(),
             balancer: crate::Balancer::new(settings, seed),
             next: 0,
@@ -139,7 +147,7 @@
         };
         broker.list(now, known, ListScope::Stale);
         if broker.delays.wanted() {
-            broker.timers.set(now + MEASURE_MS, Due::Measure);
+            broker.timers.set(now, Due::Measure);
         }
         broker
     }
@@ -438,9 +446,13 @@
     /// No note on message delay comes over sockets. Where this node holds connections it asks for itself, so
     /// that the module is told as often as the simulator would tell it.
     fn measure(&mut self, now: Millis) {
-        let holders: BTreeSet<_> =
-            self.transactions.values().filter(|t| t.stage == Stage::Up).filter_map(|t| t.member).collect();
-        for member in holders {
+        let holds = |t: &&Transaction| t.stage == Stage::Up;
+        let mut asked: BTreeSet<_> =
+            self.transactions.values().filter(holds).filter_map(|t| t.member).collect();
+        if now < self.looks_round_until && self.nodes <= self.pool.members().count() {
+            asked.extend(self.pool.members().map(|(id, _)| id));
+        }
+        for member in asked {
             // One that drains is asked nothing more.
             if self.pool.serving(member) && self.delays.asks(now, member) {
                 self.probe(member);
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -46,8 +46,15 @@
 
 impl Bench {
     fn new(names: &[&str]) -> Self {
+        Bench::beside(names, 1)
+    }
+
+    /// One of so many nodes.
+    fn beside(names: &[&str], nodes: u32) -> Self {
         let members = names.iter().map(|name| member(name, Phase::Serving)).collect();
-        let broker = Broker::new(0.0, &site(), 7, list(true, members));
+        let mut site = site();
+        site.settings.balancers = nodes;
+        let broker = Broker::new(0.0, &site, 7, list(true, members));
         let mut bench = Bench { broker, now: 0.0, seen: Vec::new() };
         bench.collect();
         bench
@@ -222,7 +229,7 @@
 /// calm day lost half its worth to one member that stayed overloaded.
 #[test]
 fn members_that_hold_connections_are_asked_for_their_message_delay() {
-    let mut bench = Bench::new(&["a"]);
+    let mut bench = Bench::beside(&["a"], 2);
     bench.run(3_000.0);
     let probes = |bench: &Bench| bench.seen.iter().filter(|(_, o)| matches!(o, Order::Probe { .. })).count();
     assert_eq!(probes(&bench), 0, "no connection there, nothing to ask");
@@ -335,3 +342,30 @@
     bench.run(5_100.0);
     assert_eq!(moved(&bench), 20);
 }
+
+/// Guards against a node that starts blind and fills the member that it likes best with all that comes at once.
+#[test]
+fn a_node_that_has_just_started_asks_all_members_unless_nodes_are_more() {
+    let probes = |nodes: u32| {
+        let mut bench = Bench::beside(&["a", "b", "c"], nodes);
+        for at in 1..200 {
+            bench.run(f64::from(at) * 100.0);
+            let asked: Vec<_> = bench.broker.probes.keys().copied().collect();
+            for member in asked {
+                bench.broker.probed(bench.now, member, Outcome::Ok, None, Some(1.0));
+            }
+        }
+        let probe = |at: Millis, order: &Order| match order {
+            Order::Probe { member, .. } => Some((at, *member)),
+            _ => None,
+        };
+        bench.seen.iter().filter_map(|(at, order)| probe(*at, order)).collect::<Vec<_>>()
+    };
+    let few = probes(3);
+    let first: BTreeSet<_> = few.iter().filter(|(at, _)| *at < 100.0).map(|(_, member)| *member).collect();
+    assert_eq!(first.len(), 3);
+    assert!(few.iter().all(|(at, _)| *at <= LOOK_ROUND_MS), "{few:?}");
+    // Every other second each, as their messages are quick.
+    assert!((15..=18).contains(&few.len()), "{few:?}");
+    assert_eq!(probes(4), []);
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 /// The part taken upwards while so much of the capacity heard from shows no trouble.
 const CLAIM_UP_CALM: f64 = 0.35;
 const CALM: f64 = 0.7;
+/// For so long its equal part is what a newcomer has: by then the clients of the process before it have come.
+const NEWCOMER_MS: Millis = 10_000.0;
 /// A report counts for 1/e of a fresh one after this; a note on message delay is void after the second.
 const REPORT_FADE_MS: Millis = 5_000.0;
 const NOTE_LASTS_MS: Millis = 2_500.0;
@@ -191,7 +193,7 @@
         let (mut heard, mut trouble, mut pressure) = (f64::MIN_POSITIVE, 0.0, 0.0);
         for server in self.servers.values_mut().filter(|s| s.usable(now)) {
             server.resets = 0;
-            // A backend that holds none of this gateway's connections can't show trouble: that is no health.
+            // One that holds none of this gateway's connections can't show trouble: that is no health.
             let load = server.told(now).map_or(0.0, |(load, _)| load);
             let troubled = std::mem::take(&mut server.strained);
             let peak = server.peak * (1.0 - PEAK_FADE);
@@ -209,7 +211,8 @@
         let told = self.mean_report(now, REPORT_FADE_MS);
         self.mean_load = told.map(|(mean, _)| mean);
         if let Some((mean, fresh)) = told {
-            let own = open.max(self.settings.quota_part() / 4.0);
+            let new = !self.settled && self.started.is_some_and(|at| now - at < NEWCOMER_MS);
+            let own = open.max(self.settings.quota_part() / if new { 1.0 } else { 4.0 });
             let claim = own / weight * TARGET / mean.max(0.05);
             // Clients that broke off and come again are no loss of capacity.
             let down = if mean < ROOMY { 0.0 } else { CLAIM_DOWN };
@@ -351,8 +354,7 @@
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
         let kin = self.kin(entry.request.group);
-        // A gateway that places once in a while would hold a cold backend for shut, though all of them
-        // together send it next to nothing.
+        // One that places seldom would hold a cold backend for shut; all together send it next to nothing.
         let load = self.mean_load.map_or(1.0, |mean| mean.clamp(LEAST_LOAD, 1.0));
         let gate = (self.intake * self.settings.fall_ms).max(LEAST_SENDS / self.listed_weight / load);
         // Where there is trouble, turns are kept closely.
@@ -418,8 +420,7 @@
     /// The paper slows what is open when over budget. A connection here can't be slowed: while a backend
     /// is asked for more than it can do, each gateway moves its part of the excess, the least worth first.
     fn relieve(&mut self, now: Millis, out: &mut Out) {
-        // With room elsewhere clients are moved there; in a shortage they leave, and the lowered budget keeps
-        // as many out as it takes for the others to be served.
+        // With room elsewhere clients move there; in a shortage they leave, and the budget keeps others out.
         let part = if self.calm < SHORT { 1.0 } else { self.calm };
         let mut most: BTreeMap<BackendId, u32> = BTreeMap::new();
         for (&backend, server) in &mut self.servers {
@@ -467,7 +468,8 @@
         server.strained |= matches!(outcome, Full | Error | Reset | TimedOut);
         match outcome {
             Outcome::Ok => server.alive(now),
-            Error => server.lost(now, jitter),
+            // One that times out takes work and answers nothing; a probe that is answered brings it back.
+            Error | TimedOut => server.lost(now, jitter),
             Outcome::Full => {
                 server.avoid_until = server.avoid_until.max(now + FULL_PAUSE_MS * jitter);
             }
@@ -475,8 +477,6 @@
                 server.absent += 1;
                 server.lost(now, jitter)
             }
-            // It takes work and answers nothing; a probe that is answered brings it back.
-            TimedOut => server.lost(now, jitter),
             Outcome::Reset if stood => {
                 server.resets += 1;
                 // Most of what it held broke at once: the process died, whatever the list still says.
@@ -534,6 +534,7 @@
     // ---- Request lifecycle ----
 
     fn adopted(&mut self, now: Millis, request: Request, backend: BackendId) {
+        self.settled = true; // no newcomer: it holds what is its own
         self.enter(now, request, f64::INFINITY);
         if let Some(entry) = self.entries.get_mut(&request.id) {
             (entry.state, entry.backend, entry.tries) = (State::Open, Some(backend), 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -96,6 +96,8 @@
     pub(crate) settings: Settings,
     pub(crate) rng: u64,
     pub(crate) started: Option<Millis>,
+    /// It took connections over from before its start.
+    pub(crate) settled: bool,
     pub(crate) tenants: BTreeMap<TenantId, Share>,
     pub(crate) servers: BTreeMap<BackendId, Server>,
     /// Listed weight of all that serve, cold or in a pause as they may be.
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -182,3 +182,26 @@
     // Capacity has crept up a little by the second interval.
     assert!((34..=38).contains(&sent(1)), "the rest of 40: {}", sent(1));
 }
+
+/// Guards against a newcomer that claims little because it holds little yet, and turns away the clients of the process
+/// before it: they come at once, seconds after its start. One that took connections over holds what is its own.
+#[test]
+fn a_newcomer_claims_its_equal_part_until_its_clients_have_come() {
+    let sent = |took_over: bool, wait_ms: f64| {
+        let mut relay = Relay::with(quota(&[8.0]), [backend(1), backend(2)]);
+        if took_over {
+            relay.give(Event::Adopted { request: request(1_000), backend: BackendId(1) });
+        }
+        while relay.now < wait_ms {
+            for backend in [BackendId(1), BackendId(2)] {
+                let report = Some(Report { load_over_capacity: Some(0.8) });
+                relay.give(Event::ProbeEnded { backend, outcome: Outcome::Ok, report });
+            }
+            relay.run(relay.now + 500.0);
+        }
+        (0..8).filter(|id| sent_to(&relay.ask(request(*id))).is_some()).count()
+    };
+    assert_eq!(sent(false, 5_000.0), 8);
+    assert!(sent(true, 5_000.0) <= 3, "{}", sent(true, 5_000.0));
+    assert!(sent(false, 20_000.0) <= 3, "{}", sent(false, 20_000.0));
+}
