Count a newcomer's equal part as its own in a shortage as well

Cause: in learn (logic.rs) a shortage lowers the capacity to what the gateway carries: a newcomer carries nothing, so that one report round of members over 0.85 left it a limit of one (tests/mechanism.rs, load 0.9, failed with 1 of 8 sent).

Change: the equal part stands for what it carries there as well; one rule in one place.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,5 +1,4 @@
 //! The decision module; its interface (settings, events, actions, ids) is in `src/api.rs`.
-//!
 //! A request joins its tenant's queue, leaves under the tenant's limit after the pacing delay, and weighted
 //! round robin names its backend. `docs/design.md` tells what was added to that, and when each addition acts.
 use crate::api::*;
@@ -207,12 +206,13 @@
                     (trouble + server.capacity, pressure + server.capacity * load.max(TARGET));
             }
         }
-        let open: f64 = self.tenants.values().map(|share| share.load).sum();
+        let new = !self.settled && self.started.is_some_and(|at| now - at < NEWCOMER_MS);
+        let least = if new { self.settings.quota_part() } else { 0.0 };
+        let open = self.tenants.values().map(|share| share.load).sum::<f64>().max(least);
         let told = self.mean_report(now, REPORT_FADE_MS);
         self.mean_load = told.map(|(mean, _)| mean);
         if let Some((mean, fresh)) = told {
-            let new = !self.settled && self.started.is_some_and(|at| now - at < NEWCOMER_MS);
-            let own = open.max(self.settings.quota_part() / if new { 1.0 } else { 4.0 });
+            let own = open.max(self.settings.quota_part() / 4.0);
             let claim = own / weight * TARGET / mean.max(0.05);
             // Clients that broke off and come again are no loss of capacity.
             let down = if mean < ROOMY { 0.0 } else { CLAIM_DOWN };
