--- a/crates/standin/examples/recorder_cost.rs
+++ b/crates/standin/examples/recorder_cost.rs
@@ -6,14 +6,16 @@
 //! ```
 //!
 //! The arguments: connections that stand at each node, and how many turns of 0.4 s each node gets. With `control` as a
-//! third neither records: what they differ by then is the noise.
+//! third neither records: what they differ by then is the noise. With `calls` the second takes operators' calls in place
+//! of recording, and is asked for its figures ten times a second.
 
 use hopmoor_standin::sockets::{Client, Discovery, Member, Stage};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
@@ -24,6 +26,14 @@
 const LINES_A_SECOND: u64 = 5_000;
 const TALKERS: usize = 250;
 
+/// What the second node has and the first has not.
+#[derive(Clone, Copy, PartialEq)]
+enum With {
+    Nothing,
+    Records,
+    Calls,
+}
+
 struct Node {
     child: Child,
     address: String,
@@ -35,7 +45,7 @@
 }
 
 impl Node {
-    fn start(folder: &Path, name: &str, discovery: &str, records: bool) -> Result<Node, Failure> {
+    fn start(folder: &Path, name: &str, discovery: &str, with: With) -> Result<Node, Failure> {
         let config = format!(
             r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"1",
             "limits":{{"sockets":16000}},"known":{{"seq":0,"whole":true,"hosts":[]}},
@@ -46,23 +56,34 @@
         );
         std::fs::write(folder.join(format!("{name}.json")), config)?;
         let mut operator = format!(r#"{{"config":"{name}.json""#);
-        if records {
+        if with == With::Records {
             std::fs::create_dir(folder.join("records"))?;
             operator += r#","records":{"folder":"records"}"#;
         }
+        if with == With::Calls {
+            operator += r#","admin":"127.0.0.1:0""#;
+        }
         let file = folder.join(format!("{name}-operator.json"));
         std::fs::write(&file, operator + "}")?;
         let program = std::env::current_exe()?.ancestors().nth(2).map(|target| target.join("hopmoor"));
         let mut command = Command::new(program.ok_or("no target folder")?);
         let mut child = command.args(["serve", "--operator"]).arg(&file).stderr(Stdio::piped()).spawn()?;
         let mut lines = BufReader::new(child.stderr.take().ok_or("no log")?).lines();
-        let listening =
-            lines.find_map(|line| line.ok().filter(|line| line.contains("listening"))).ok_or("no start")?;
+        let mut address = |word: &str| -> Result<String, Failure> {
+            let line =
+                lines.find_map(|line| line.ok().filter(|line| line.contains(word))).ok_or("no start")?;
+            let port = line.split("127.0.0.1:").nth(1).ok_or("no port")?;
+            let port: String = port.chars().take_while(char::is_ascii_digit).collect();
+            Ok(format!("127.0.0.1:{port}"))
+        };
+        let listens = address("listening")?;
+        if with == With::Calls {
+            let admin = address("operators may call")?;
+            std::thread::spawn(move || scrape(&admin));
+        }
         std::thread::spawn(move || lines.for_each(drop));
-        let port = listening.split("127.0.0.1:").nth(1).ok_or("no port")?;
-        let port: String = port.chars().take_while(char::is_ascii_digit).collect();
+        let address = listens;
         let (setup_cpu, setups, line_cpu, lines) = (0.0, 0, 0.0, 0);
-        let address = format!("127.0.0.1:{port}");
         Ok(Node { child, address, setup_cpu, setups, line_cpu, lines, times: Arc::default() })
     }
 
@@ -91,6 +112,24 @@
     }
 }
 
+/// Asks for the figures ten times a second until the node is gone; then says how long the slowest answer took.
+fn scrape(admin: &str) {
+    let mut slowest = Duration::ZERO;
+    loop {
+        let began = Instant::now();
+        let mut text = String::new();
+        let asked = TcpStream::connect(admin).and_then(|mut stream| {
+            stream.write_all(b"GET /-/metrics HTTP/1.1\r\n\r\n")?;
+            stream.read_to_string(&mut text)
+        });
+        if asked.is_err() || !text.contains("node.in_flight=") {
+            return eprintln!("slowest answer to a call: {:.1} ms", slowest.as_secs_f64() * 1_000.0);
+        }
+        slowest = slowest.max(began.elapsed());
+        std::thread::sleep(Duration::from_millis(100).saturating_sub(began.elapsed()));
+    }
+}
+
 async fn stand(address: String, count: usize) -> Result<Vec<Client>, String> {
     let mut clients = Vec::with_capacity(count);
     for number in 0..count {
@@ -148,7 +187,11 @@
     let mut args = std::env::args().skip(1);
     let standing: usize = args.next().map_or(Ok(1_000), |text| text.parse())?;
     let turns: u64 = args.next().map_or(Ok(10), |text| text.parse())?;
-    let control = args.next().is_some_and(|word| word == "control");
+    let second = match args.next().as_deref() {
+        Some("control") => With::Nothing,
+        Some("calls") => With::Calls,
+        _ => With::Records,
+    };
     let folder = std::env::temp_dir().join(format!("hopmoor-cost-{}", std::process::id()));
     std::fs::create_dir(&folder)?;
     let stage = Stage::new()?;
@@ -158,8 +201,8 @@
         discovery.set(&format!("s-{at}"), &member.address(), "Ready");
     }
     let mut nodes = [
-        Node::start(&folder, "off", &discovery.address(), false)?,
-        Node::start(&folder, "on", &discovery.address(), !control)?,
+        Node::start(&folder, "off", &discovery.address(), With::Nothing)?,
+        Node::start(&folder, "on", &discovery.address(), second)?,
     ];
     let load = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let mut held = Vec::new();
