Keep a drain out of the records of a node's end

Cause: read as the diff: a drain wrote the record that means the node was told to end, so that a report showed a node as leaving that serves on.

Change: only an end writes it; a drain shows by its moves. A test fails without it.

--- a/src/broker/moves.rs
+++ b/src/broker/moves.rs
@@ -67,13 +67,13 @@
     /// Begins to move all clients before the node ends. New ones are still served, and moved in their turn.
     pub fn leave(&mut self, now: Millis) {
         if self.leaving.end(now) {
+            let transactions = self.transactions.len() as u32;
+            self.tape.note(now, || record::Leaving { transactions }.into());
             self.begin_leaving(now);
         }
     }
 
     fn begin_leaving(&mut self, now: Millis) {
-        let transactions = self.transactions.len() as u32;
-        self.tape.note(now, || record::Leaving { transactions }.into());
         if !std::mem::replace(&mut self.stepping, true) {
             self.timers.set(now + STEP_MS, Due::Leave);
         }
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -369,3 +369,19 @@
     assert!((15..=18).contains(&few.len()), "{few:?}");
     assert_eq!(probes(4), []);
 }
+
+/// Guards against a report that shows a node's end where it was drained and served on.
+#[test]
+fn a_drain_is_not_recorded_as_the_nodes_end() {
+    let mut bench = Bench::new(&["a"]);
+    bench.broker.record(0.0);
+    let ends = |bench: &mut Bench| {
+        let taken = bench.broker.taken(Vec::new()).records;
+        taken.iter().filter(|record| matches!(record.event, record::Event::Leaving(_))).count()
+    };
+    assert!(bench.broker.drain(0.0) && bench.broker.resume());
+    assert_eq!(ends(&mut bench), 0);
+    bench.broker.leave(0.0);
+    assert_eq!(ends(&mut bench), 1);
+    assert!(!bench.broker.drain(0.0) && !bench.broker.resume());
+}
