Give a first line the same time on both fronts, and call an empty list not ready

Cause: read as the diff: the platform's front had gone to 2.5 s and XMPP's stayed at 2 s, in a constant of its own (a client that takes 2 s to write its header was cut); /-/ready said yes with a list without members; a variable of the environment that is not Unicode was passed over in silence.

Change: FIRST_MS in front, used by both; 'no member listed'; such a variable is refused by its name.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -242,8 +242,9 @@
     /// Whether the node would serve a new client now: a list is in use, and it neither drains nor ends.
     pub fn standing_by(&self) -> Result<(), &'static str> {
         match self.leaving {
-            Leaving::Not if self.ready => Ok(()),
-            Leaving::Not => Err("no list yet"),
+            Leaving::Not if !self.ready => Err("no list yet"),
+            Leaving::Not if self.pool.members().next().is_none() => Err("no member listed"),
+            Leaving::Not => Ok(()),
             Leaving::Drain(_) => Err("draining"),
             Leaving::End(_) => Err("ending"),
         }
--- a/src/front.rs
+++ b/src/front.rs
@@ -7,6 +7,10 @@
 /// Most bytes held for one side; while a buffer is fuller than this, nothing more is read for it.
 pub const BUFFER: usize = 16 * 1024;
 
+/// A client whose first line, or stream header, is not whole by then gets its answer: owed is one within 3 s of
+/// connecting, however slowly it drips in, and a client may take 2 s to write it.
+pub const FIRST_MS: Millis = 2_500.0;
+
 /// What happened to the connection.
 #[derive(Debug)]
 pub enum Input<'a> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -77,7 +77,8 @@
         }),
     };
     let read = read.and_then(|(mut config, speaks)| {
-        config.take_environment(|name| std::env::var(name).ok())?;
+        // What is not Unicode is no address and no number either, and is refused as such.
+        config.take_environment(|name| Some(std::env::var_os(name)?.to_string_lossy().into_owned()))?;
         Ok((config, speaks))
     });
     let (config, speaks) = match read {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,7 +10,7 @@
 use crate::api::*;
 use crate::broker::{Ask, Bad, Coming, Command, Said};
 use crate::config::Site;
-use crate::front::{BUFFER, Front, Input, Step};
+use crate::front::{BUFFER, FIRST_MS, Front, Input, Step};
 use crate::pool::name_hash;
 use parse::{Answer, First};
 use relay::Relay;
@@ -19,9 +19,6 @@
 
 /// The longest line.
 pub const LINE: usize = 4 * 1024;
-/// A client whose first line is not whole by then gets its answer: owed is one within 3 s of connecting, however slowly
-/// the line drips in, and a client may take 2 s to write it.
-const SILENT_MS: Millis = 2_500.0;
 /// `d` runs from when the client sent its line: kept back for the way here and for that of the answer. Guards
 /// against a process that is not run for a moment: with 15 ms one answer in a day came too late.
 const MARGIN_MS: Millis = 100.0;
@@ -97,7 +94,7 @@
             to_client: Vec::new(),
             to_server: Vec::new(),
             steps: VecDeque::new(),
-            due: Some(now + SILENT_MS),
+            due: Some(now + FIRST_MS),
             client_ended: false,
             checked: false,
         }
@@ -205,7 +202,7 @@
                 self.to_client.extend_from_slice(b"PONG\r\n");
                 self.state = State::First;
                 self.checked = true;
-                self.due = Some(now + SILENT_MS);
+                self.due = Some(now + FIRST_MS);
                 self.first_line();
             }
             // Anything but `PONG` is a no.
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -8,13 +8,11 @@
 
 use crate::api::*;
 use crate::broker::{Ask, Bad, Coming, Command, Failure, Said};
-use crate::front::{BUFFER, Front, Input, Step};
+use crate::front::{BUFFER, FIRST_MS, Front, Input, Step};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use xml::{Child, Cutter, Unit, XmlError, escape};
 
-/// A client that has sent no stream header after this is told so.
-const SILENT_MS: Millis = 2_000.0;
 /// What is kept back of a deadline for the answer's own way.
 const MARGIN_MS: Millis = 100.0;
 /// A side that was told of the stream's end has this long to end it too.
@@ -99,7 +97,7 @@
             to_client: Vec::new(),
             to_server: Vec::new(),
             steps: VecDeque::new(),
-            due: Some(now + SILENT_MS),
+            due: Some(now + FIRST_MS),
         }
     }
 
--- a/tests/xmpp_front.rs
+++ b/tests/xmpp_front.rs
@@ -135,7 +135,7 @@
     let mut front = Session::new(0.0, Rc::new(realm));
     let due = front.due().unwrap();
     // Owed within 3 s of connecting; a header that drips in does not put it off.
-    assert!(due <= 2_500.0);
+    assert!((2_300.0..=2_500.0).contains(&due), "it may take 2 s to write, and is owed an answer within 3 s");
     for (at, byte) in (0..).zip(HEADER.as_bytes().chunks(1).take(20)) {
         front.take(f64::from(at) * 100.0, Input::Client(byte));
     }
