Let nodes keep a view of their fleet, and play fleets in virtual time

Change: crates/seal (keys and sealed bytes, taken out of crates/resume, same format), crates/fleet (SWIM by foca, words, exchanges by digest, coming again, two of one name, doubts), fault schedules, history and judges in crates/standin, fleets in virtual time in crates/world.

--- /dev/null
+++ b/crates/fleet/src/word.rs
@@ -0,0 +1,252 @@
+//! A word: what a node says of itself. Others keep its last one and pass it on byte for byte, with what they can't read.
+
+use crate::identity::Name;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Bytes of a word's fields, at most.
+pub const WORD_BYTES: usize = 512;
+/// Bytes of a digest in a word: what tells versions apart, not what proves them.
+pub const DIGEST_BYTES: usize = 8;
+
+/// Whether a node takes clients.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub enum Ready {
+    /// It does not serve yet, or can't.
+    #[default]
+    NotReady = 0,
+    /// It serves.
+    Serving = 1,
+    /// It takes no clients, and stays.
+    Draining = 2,
+    /// It ends.
+    Ending = 3,
+    /// It has gone, and said so.
+    Left = 4,
+}
+
+impl Ready {
+    fn from(byte: u8) -> Ready {
+        match byte {
+            1 => Ready::Serving,
+            2 => Ready::Draining,
+            3 => Ready::Ending,
+            4 => Ready::Left,
+            // What a newer node may be in is none that this one knows to serve.
+            _ => Ready::NotReady,
+        }
+    }
+
+    /// In words, as operators read it.
+    pub fn text(self) -> &'static str {
+        match self {
+            Ready::NotReady => "not ready",
+            Ready::Serving => "serving",
+            Ready::Draining => "draining",
+            Ready::Ending => "ending",
+            Ready::Left => "left",
+        }
+    }
+}
+
+/// What a node says of itself, as far as this program can read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Said {
+    /// Its zone.
+    pub zone: String,
+    /// Where clients connect.
+    pub clients: String,
+    /// Where operators call; empty: nowhere.
+    pub admin: String,
+    /// Whether it takes clients.
+    pub ready: Ready,
+    /// Digest of its executable.
+    pub program: Vec<u8>,
+    /// Digest of its configuration.
+    pub config: Vec<u8>,
+    /// How long it had run when it said so, in milliseconds.
+    pub up_ms: u64,
+    /// Connections that it could still take.
+    pub room: u32,
+}
+
+/// The numbers of the fields: the format. None is used again for another.
+mod tag {
+    pub const ZONE: u8 = 1;
+    pub const CLIENTS: u8 = 2;
+    pub const ADMIN: u8 = 3;
+    pub const READY: u8 = 4;
+    pub const PROGRAM: u8 = 5;
+    pub const CONFIG: u8 = 6;
+    pub const UP_MS: u8 = 7;
+    pub const ROOM: u8 = 8;
+}
+
+impl Said {
+    /// As fields: `tag u8 | length u8 | bytes`, each at most 255 bytes and all at most [`WORD_BYTES`].
+    pub fn fields(&self) -> Vec<u8> {
+        let mut fields = Vec::new();
+        let mut put = |tag: u8, bytes: &[u8]| {
+            let bytes = &bytes[..bytes.len().min(usize::from(u8::MAX))];
+            if !bytes.is_empty() && fields.len() + 2 + bytes.len() <= WORD_BYTES {
+                fields.extend_from_slice(&[tag, bytes.len() as u8]);
+                fields.extend_from_slice(bytes);
+            }
+        };
+        // Those that the fleet goes by come first: they never fall to the limit.
+        put(tag::READY, &[self.ready as u8]);
+        put(tag::UP_MS, &self.up_ms.to_le_bytes());
+        put(tag::ROOM, &self.room.to_le_bytes());
+        put(tag::PROGRAM, &self.program);
+        put(tag::CONFIG, &self.config);
+        put(tag::ZONE, self.zone.as_bytes());
+        put(tag::CLIENTS, self.clients.as_bytes());
+        put(tag::ADMIN, self.admin.as_bytes());
+        fields
+    }
+
+    /// Reads fields; unknown ones are passed over. `None` if they are not cut as fields are.
+    pub fn read(mut fields: &[u8]) -> Option<Said> {
+        let mut said = Said::default();
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        while let Some((&[tag, length], rest)) = fields.split_first_chunk::<2>() {
+            let (bytes, rest) = rest.split_at_checked(usize::from(length))?;
+            fields = rest;
+            match tag {
+                tag::ZONE => said.zone = text(bytes),
+                tag::CLIENTS => said.clients = text(bytes),
+                tag::ADMIN => said.admin = text(bytes),
+                tag::READY => said.ready = Ready::from(*bytes.first()?),
+                tag::PROGRAM => said.program = bytes.to_vec(),
+                tag::CONFIG => said.config = bytes.to_vec(),
+                tag::UP_MS => said.up_ms = u64::from_le_bytes(bytes.try_into().ok()?),
+                tag::ROOM => said.room = u32::from_le_bytes(bytes.try_into().ok()?),
+                _ => {}
+            }
+        }
+        fields.is_empty().then_some(said)
+    }
+}
+
+/// A word as it goes round.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Whose.
+    pub name: Name,
+    /// Said in which coming.
+    pub incarnation: u64,
+    /// Counts its words in that coming.
+    pub version: u32,
+    /// The fields, unread.
+    pub fields: Vec<u8>,
+}
+
+impl Word {
+    fn order(&self) -> (u64, u32) {
+        (self.incarnation, self.version)
+    }
+
+    /// Whether the node says that it goes.
+    pub(crate) fn tells_left(&self) -> bool {
+        Said::read(&self.fields).is_some_and(|said| said.ready == Ready::Left)
+    }
+}
+
+/// The last word of each node.
+#[derive(Debug, Default)]
+pub(crate) struct Words {
+    words: HashMap<Name, Word>,
+    /// Counts changes, for caches.
+    pub(crate) changes: u64,
+    most: usize,
+    pub(crate) bad: u64,
+}
+
+impl Words {
+    pub(crate) fn new(most: usize) -> Words {
+        Words { most, ..Words::default() }
+    }
+
+    pub(crate) fn get(&self, name: &str) -> Option<&Word> {
+        self.words.get(name)
+    }
+
+    /// The word of this coming of a node.
+    pub(crate) fn of(&self, id: &crate::Id) -> Option<&Word> {
+        self.get(&id.name).filter(|word| word.incarnation == id.incarnation)
+    }
+
+    /// Takes a word; true if it is news. Of two the later one stands, in whatever order they come.
+    pub(crate) fn take(&mut self, word: Word) -> bool {
+        if word.fields.len() > WORD_BYTES
+            || !crate::identity::is_name(&word.name)
+            || Said::read(&word.fields).is_none()
+        {
+            self.bad += 1;
+            return false;
+        }
+        let news = match self.words.get(&word.name) {
+            Some(last) => word.order() > last.order(),
+            None => self.words.len() < self.most,
+        };
+        if news {
+            self.words.insert(word.name.clone(), word);
+            self.changes += 1;
+        }
+        news
+    }
+
+    pub(crate) fn forget(&mut self, name: &str) {
+        if self.words.remove(name).is_some() {
+            self.changes += 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_newer_nodes_fields_are_kept_and_bad_words_are_not() {
+        let said = Said { zone: "a".into(), ready: Ready::Serving, room: 7, ..Said::default() };
+        let mut fields = said.fields();
+        fields.extend_from_slice(&[200, 3, 1, 2, 3]);
+        assert_eq!(Said::read(&fields), Some(said));
+        let word = |incarnation, version, fields: &[u8]| Word {
+            name: "n".into(),
+            incarnation,
+            version,
+            fields: fields.to_vec(),
+        };
+        let mut words = Words::new(1);
+        assert!(words.take(word(5, 2, &fields)));
+        assert_eq!(words.get("n").unwrap().fields, fields);
+        assert!(!words.take(word(5, 2, &[])), "the same again is no news");
+        assert!(!words.take(word(4, 9, &[])), "an earlier coming");
+        assert!(words.take(word(6, 1, &[])));
+        assert!(!words.take(word(7, 1, &[1, 9, 0])), "cut short");
+        assert!(!words.take(word(7, 1, &[0; WORD_BYTES + 2])), "too long");
+        assert!(!words.take(Word { name: "m".into(), ..word(1, 1, &[]) }), "no room");
+        assert_eq!(words.bad, 2);
+    }
+
+    #[test]
+    fn all_that_a_node_says_comes_back() {
+        let said = Said {
+            zone: "athens-east".into(),
+            clients: "127.0.0.1:5222".into(),
+            admin: "127.0.0.1:5223".into(),
+            ready: Ready::Draining,
+            program: vec![7; DIGEST_BYTES],
+            config: vec![8; DIGEST_BYTES],
+            up_ms: 1 << 40,
+            room: 12,
+        };
+        assert_eq!(Said::read(&said.fields()), Some(said.clone()));
+        let long = Said { zone: "z".repeat(600), clients: "c".repeat(600), ..said };
+        assert!(long.fields().len() <= WORD_BYTES);
+        assert_eq!(Said::read(&long.fields()).unwrap().ready, Ready::Draining);
+    }
+}
--- a/crates/resume/src/keys.rs
+++ b/crates/seal/src/keys.rs
@@ -1,11 +1,11 @@
-//! Keys for tokens, from a file as operators keep one:
+//! Keys, from a file as operators keep one:
 //!
 //! ```json
 //! {"seal_with": 2, "keys": [{"id": 1, "secret": "BASE64 of 32 bytes"}, {"id": 2, "secret": "..."}]}
 //! ```
 //!
-//! To rotate, a new key is added at all nodes, then `seal_with` is turned to it, and the old one is taken out once the
-//! last token under it has expired.
+//! To rotate, a new key is added at all nodes, then `seal_with` is turned to it, and the old one is taken out once
+//! nothing sealed under it is about any more.
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -59,6 +59,28 @@
 }
 
 impl Keys {
+    /// One key, which seals.
+    pub fn new(id: u32, secret: [u8; KEY_BYTES]) -> Keys {
+        Keys { seal_with: id, keys: BTreeMap::from([(id, secret)]) }
+    }
+
+    /// The keys of several, one of which seals; `None` if that is not among them.
+    pub fn joined(several: &[Keys], seal_with: u32) -> Option<Keys> {
+        let keys: BTreeMap<u32, [u8; KEY_BYTES]> =
+            several.iter().flat_map(|keys| keys.keys.clone()).collect();
+        keys.contains_key(&seal_with).then_some(Keys { seal_with, keys })
+    }
+
+    /// The file that says the same, as [`Keys::read`] takes it.
+    pub fn file(&self) -> String {
+        let keys: Vec<serde_json::Value> = self
+            .keys
+            .iter()
+            .map(|(id, secret)| serde_json::json!({"id": id, "secret": STANDARD.encode(secret)}))
+            .collect();
+        serde_json::json!({"seal_with": self.seal_with, "keys": keys}).to_string() + "\n"
+    }
+
     /// Reads a file's text.
     ///
     /// # Errors
@@ -86,7 +108,7 @@
         Ok(Keys { seal_with: raw.seal_with, keys })
     }
 
-    /// The key that new tokens are sealed with, and its number.
+    /// The key that is sealed with, and its number.
     pub(crate) fn sealing(&self) -> (u32, [u8; KEY_BYTES]) {
         (self.seal_with, self.keys.get(&self.seal_with).copied().unwrap_or_default())
     }
@@ -108,6 +130,7 @@
         let one = format!(r#"{{"id":1,"secret":"{good}"}}"#);
         let keys = Keys::read(file(&one).as_bytes()).unwrap();
         assert!(!format!("{keys:?}").contains('7'), "{keys:?}");
+        assert_eq!(Keys::read(keys.file().as_bytes()), Ok(keys));
         for (text, wanted) in [
             (file(""), "seal_with: no key 1"),
             (file(&format!("{one},{one}")), "keys[1].id"),
--- /dev/null
+++ b/crates/seal/src/lib.rs
@@ -0,0 +1,114 @@
+//! Keys from an operator's file, and bytes sealed under them by XChaCha20-Poly1305 (RFC 8439 with the nonce of
+//! draft-irtf-cfrg-xchacha-03). No I/O and no source of random numbers.
+//!
+//! ```text
+//! sealed:  kind u8 | key id u32 | nonce 24 bytes | ciphertext | tag 16 bytes
+//! ```
+//!
+//! Kind and key id are authenticated as well, so that what was sealed as one kind is never taken for another.
+
+pub mod keys;
+
+pub use keys::{KEY_BYTES, KeyError, Keys};
+
+use chacha20poly1305::aead::{Aead, Payload};
+use chacha20poly1305::{Key, KeyInit, XChaCha20Poly1305, XNonce};
+use std::fmt;
+
+/// Bytes of a nonce: enough that random ones never meet.
+pub const NONCE_BYTES: usize = 24;
+const HEAD: usize = 1 + 4;
+const TAG: usize = 16;
+/// Bytes that sealing adds.
+pub const OVERHEAD: usize = HEAD + NONCE_BYTES + TAG;
+
+/// What was sealed. The bytes are the format: none is used again for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Kind {
+    /// A stream's token.
+    Token = 1,
+    /// A datagram of the fleet.
+    Datagram = b'd',
+    /// A frame of the fleet's exchanges.
+    Frame = b'f',
+}
+
+/// Why sealed bytes were refused: for counters and the log, never for who sent them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsealed {
+    /// Too short, or of another kind.
+    Malformed,
+    /// Sealed under a key that is not there.
+    UnknownKey,
+    /// Altered, or made by somebody without the key.
+    Forged,
+}
+
+impl fmt::Display for Unsealed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Unsealed::Malformed => "malformed",
+            Unsealed::UnknownKey => "unknown key",
+            Unsealed::Forged => "forged",
+        })
+    }
+}
+
+fn cipher(key: [u8; KEY_BYTES]) -> XChaCha20Poly1305 {
+    XChaCha20Poly1305::new(&Key::from(key))
+}
+
+/// Seals bytes. The nonce must be random and new each time. `None` if they are too many to be sealed at all.
+pub fn seal(keys: &Keys, kind: Kind, plain: &[u8], nonce: [u8; NONCE_BYTES]) -> Option<Vec<u8>> {
+    let (id, key) = keys.sealing();
+    let mut sealed = Vec::with_capacity(plain.len() + OVERHEAD);
+    sealed.push(kind as u8);
+    sealed.extend_from_slice(&id.to_le_bytes());
+    let payload = Payload { msg: plain, aad: &sealed };
+    let text = cipher(key).encrypt(&XNonce::from(nonce), payload).ok()?;
+    sealed.extend_from_slice(&nonce);
+    sealed.extend_from_slice(&text);
+    Some(sealed)
+}
+
+/// Opens sealed bytes. A key that is not there costs the same work as a wrong one: what is missing can't be told by
+/// the clock.
+///
+/// # Errors
+/// Why they are refused.
+pub fn open(keys: &Keys, kind: Kind, bytes: &[u8]) -> Result<Vec<u8>, Unsealed> {
+    let Some((&[first, a, b, c, d], rest)) = bytes.split_first_chunk::<HEAD>() else {
+        return Err(Unsealed::Malformed);
+    };
+    if first != kind as u8 {
+        return Err(Unsealed::Malformed);
+    }
+    let (nonce, sealed) = rest.split_first_chunk::<NONCE_BYTES>().ok_or(Unsealed::Malformed)?;
+    let known = keys.named(u32::from_le_bytes([a, b, c, d]));
+    let payload = Payload { msg: sealed, aad: &bytes[..HEAD] };
+    let plain = cipher(known.unwrap_or_default()).decrypt(&XNonce::from(*nonce), payload);
+    if known.is_none() {
+        return Err(Unsealed::UnknownKey);
+    }
+    plain.map_err(|_| Unsealed::Forged)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_sealed_as_one_kind_is_not_taken_for_another() {
+        let keys = Keys::new(3, [9; KEY_BYTES]);
+        let sealed = seal(&keys, Kind::Datagram, b"word", [1; NONCE_BYTES]).unwrap();
+        assert_eq!(sealed.len(), 4 + OVERHEAD);
+        assert_eq!(open(&keys, Kind::Datagram, &sealed).as_deref(), Ok(&b"word"[..]));
+        assert_eq!(open(&keys, Kind::Frame, &sealed), Err(Unsealed::Malformed));
+        let mut relabelled = sealed.clone();
+        relabelled[0] = Kind::Frame as u8;
+        assert_eq!(open(&keys, Kind::Frame, &relabelled), Err(Unsealed::Forged));
+        assert_eq!(open(&Keys::new(4, [9; KEY_BYTES]), Kind::Datagram, &sealed), Err(Unsealed::UnknownKey));
+        assert_eq!(open(&Keys::new(3, [8; KEY_BYTES]), Kind::Datagram, &sealed), Err(Unsealed::Forged));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/faults.rs
@@ -0,0 +1,217 @@
+//! What goes wrong between and in the nodes of a fleet, as a schedule: from a file, or drawn from a seed. The same
+//! schedule is played in virtual time and on real processes.
+
+use serde::{Deserialize, Serialize};
+
+/// A schedule.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedule {
+    /// How many nodes there are.
+    pub nodes: usize,
+    /// Over how many zones they are spread in turn.
+    #[serde(default = "one")]
+    pub zones: usize,
+    /// How long it takes in all.
+    pub seconds: f64,
+    /// For what is drawn while it is played: losses, delays.
+    #[serde(default)]
+    pub seed: u64,
+    /// What happens, in the order of its times.
+    #[serde(default)]
+    pub steps: Vec<Step>,
+}
+
+fn one() -> usize {
+    1
+}
+
+/// One thing that happens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// When, in seconds from the start.
+    pub at: f64,
+    /// What.
+    #[serde(flatten)]
+    pub fault: Fault,
+}
+
+/// What can happen.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "snake_case")]
+pub enum Fault {
+    /// These start; all others do at the beginning.
+    Start {
+        /// Which.
+        nodes: Who,
+    },
+    /// SIGKILL.
+    Kill {
+        /// Which.
+        nodes: Who,
+    },
+    /// SIGTERM.
+    Term {
+        /// Which.
+        nodes: Who,
+    },
+    /// SIGSTOP, and SIGCONT after so long.
+    Stop {
+        /// Which.
+        nodes: Who,
+        /// For how long, in seconds.
+        seconds: f64,
+    },
+    /// What goes from some to others is treated so, for a time.
+    Link {
+        /// Senders.
+        from: Who,
+        /// Receivers.
+        to: Who,
+        /// Whether the way back as well.
+        #[serde(default)]
+        both: bool,
+        /// How.
+        how: Manner,
+        /// For how long, in seconds.
+        seconds: f64,
+    },
+    /// One is killed and comes back under its name at another address.
+    Move {
+        /// Which.
+        node: usize,
+    },
+    /// A second process of the same name starts beside the first.
+    Twin {
+        /// Which.
+        node: usize,
+    },
+    /// Datagrams that nobody sealed come to one node, so many a second.
+    Flood {
+        /// To whom.
+        node: usize,
+        /// How many a second.
+        rate: f64,
+        /// For how long, in seconds.
+        seconds: f64,
+    },
+    /// A node drains, or takes clients again.
+    Drain {
+        /// Which.
+        nodes: Who,
+        /// Whether it drains.
+        on: bool,
+    },
+    /// A new key: first all get it, then all seal with it, then the old one goes; so long between.
+    Rotate {
+        /// Between the steps, in seconds.
+        pause: f64,
+    },
+}
+
+/// Some of the nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// All of them.
+    All,
+    /// These.
+    Only(Vec<usize>),
+    /// All but these.
+    But(Vec<usize>),
+    /// Those of a zone.
+    Zone(usize),
+}
+
+impl Who {
+    /// Whether one is among them.
+    pub fn has(&self, node: usize, zones: usize) -> bool {
+        match self {
+            Who::All => true,
+            Who::Only(nodes) => nodes.contains(&node),
+            Who::But(nodes) => !nodes.contains(&node),
+            Who::Zone(zone) => node % zones.max(1) == *zone,
+        }
+    }
+}
+
+/// How a link treats what goes over it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Manner {
+    /// Nothing passes.
+    pub cut: bool,
+    /// Share of datagrams lost.
+    pub loss: f64,
+    /// What passes is late by this, in milliseconds.
+    pub delay_ms: f64,
+    /// And by up to this on top, drawn for each: so datagrams overtake each other.
+    pub jitter_ms: f64,
+    /// Share of datagrams that pass twice.
+    pub twice: f64,
+    /// Bytes a second of a connection; 0 for no limit.
+    pub bytes_a_second: f64,
+    /// A connection is cut after so many bytes; 0 for never.
+    pub cut_after: u64,
+}
+
+impl Manner {
+    /// Both at once.
+    pub fn and(self, other: Manner) -> Manner {
+        let least = |a: f64, b: f64| if a == 0.0 || (b > 0.0 && b < a) { b } else { a };
+        Manner {
+            cut: self.cut || other.cut,
+            loss: 1.0 - (1.0 - self.loss) * (1.0 - other.loss),
+            delay_ms: self.delay_ms + other.delay_ms,
+            jitter_ms: self.jitter_ms + other.jitter_ms,
+            twice: self.twice.max(other.twice),
+            bytes_a_second: least(self.bytes_a_second, other.bytes_a_second),
+            cut_after: least(self.cut_after as f64, other.cut_after as f64) as u64,
+        }
+    }
+}
+
+impl Schedule {
+    /// Reads a schedule.
+    ///
+    /// # Errors
+    /// One line that names what is wrong.
+    pub fn read(json: &str) -> Result<Schedule, String> {
+        let schedule: Schedule = serde_json::from_str(json).map_err(|error| error.to_string())?;
+        let late = schedule.steps.windows(2).position(|pair| pair[1].at < pair[0].at);
+        if let Some(at) = late {
+            return Err(format!("steps[{}]: earlier than the one before", at + 1));
+        }
+        if schedule.nodes == 0 || !(schedule.seconds > 0.0 && schedule.seconds < 1e7) {
+            return Err("nodes and seconds: over 0".into());
+        }
+        Ok(schedule)
+    }
+
+    /// How the link from one node to another treats what goes over it at this time.
+    pub fn link(&self, at: f64, from: usize, to: usize) -> Manner {
+        let mut manner = Manner::default();
+        for step in self.steps.iter().take_while(|step| step.at <= at) {
+            if let Fault::Link { from: some, to: others, both, how, seconds } = &step.fault
+                && at < step.at + seconds
+            {
+                let there = some.has(from, self.zones) && others.has(to, self.zones);
+                let back = *both && some.has(to, self.zones) && others.has(from, self.zones);
+                if there || back {
+                    manner = manner.and(*how);
+                }
+            }
+        }
+        manner
+    }
+
+    /// Whether one starts with the schedule, and not by a step of it.
+    pub fn starts(&self, node: usize) -> bool {
+        let mut later = self.steps.iter().filter_map(|step| match &step.fault {
+            Fault::Start { nodes } => Some(nodes.has(node, self.zones)),
+            Fault::Kill { nodes } | Fault::Term { nodes } if nodes.has(node, self.zones) => Some(false),
+            _ => None,
+        });
+        later.next() != Some(true)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/history.rs
@@ -0,0 +1,200 @@
+//! What observers saw of a fleet, and what was really so: one history, judged from outside. No node's own log is in it.
+
+use crate::faults::{Fault, Schedule, Step};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What was seen and done while a schedule was played.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct History {
+    /// What was played.
+    pub schedule: Option<Schedule>,
+    /// What was done to whom, as it was done.
+    pub acts: Vec<Act>,
+    /// What the nodes said when they were asked, in the order of the times.
+    pub seen: Vec<Seen>,
+}
+
+/// Something done to a node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Act {
+    /// When, in seconds from the start.
+    pub at: f64,
+    /// To whom.
+    pub node: usize,
+    /// What.
+    pub what: What,
+}
+
+/// What is done to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// Its process started.
+    Started,
+    /// Its process was killed.
+    Killed,
+    /// It was told to end.
+    Told,
+    /// Its process ended after it was told.
+    Ended,
+    /// Its process was stopped.
+    Stopped,
+    /// It goes on.
+    Continued,
+}
+
+/// One node's view, at one time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// When, in seconds from the start.
+    pub at: f64,
+    /// Whose.
+    pub node: usize,
+    /// Its view's digest.
+    pub digest: String,
+    /// The states by node, as far as they are nodes of the schedule.
+    pub states: BTreeMap<usize, String>,
+    /// What each says of its readiness.
+    pub ready: BTreeMap<usize, String>,
+    /// Whether the node says that it is ready, if it was asked.
+    pub itself_ready: Option<bool>,
+}
+
+/// Whether a node was there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Was {
+    /// It ran.
+    Up,
+    /// It did not.
+    Down,
+    /// Its process was stopped.
+    Stopped,
+}
+
+impl History {
+    /// How a node was at a time, and since when.
+    pub fn was(&self, node: usize, at: f64) -> (Was, f64) {
+        let mut was = (Was::Down, 0.0);
+        for act in self.acts.iter().filter(|act| act.node == node && act.at <= at) {
+            was = match act.what {
+                What::Started => (Was::Up, act.at),
+                What::Killed | What::Ended => (Was::Down, act.at),
+                What::Stopped => (Was::Stopped, act.at),
+                What::Continued => (Was::Up, act.at),
+                What::Told => was,
+            };
+        }
+        was
+    }
+
+    /// The last act on a node that ends it, at or before a time.
+    fn last(&self, node: usize, what: What, at: f64) -> Option<f64> {
+        let mut acts = self.acts.iter().rev();
+        acts.find(|act| act.node == node && act.what == what && act.at <= at).map(|act| act.at)
+    }
+
+    /// When a node's end was first seen by one, and by all others that ran: held dead or left.
+    pub fn end_seen(&self, node: usize, since: f64) -> (Option<f64>, Option<f64>) {
+        let mut first: BTreeMap<usize, f64> = BTreeMap::new();
+        for seen in self.seen.iter().filter(|seen| seen.at >= since && seen.node != node) {
+            if seen.states.get(&node).is_some_and(|state| state == "dead" || state == "left") {
+                first.entry(seen.node).or_insert(seen.at - since);
+            }
+        }
+        let others: Vec<usize> = self.observers(since).into_iter().filter(|other| *other != node).collect();
+        let one = first.values().copied().reduce(f64::min);
+        let all: Option<Vec<f64>> = others.iter().map(|other| first.get(other).copied()).collect();
+        (one, all.filter(|times| !times.is_empty()).map(|times| times.into_iter().fold(0.0, f64::max)))
+    }
+
+    /// Nodes that run at a time and to the end.
+    fn observers(&self, since: f64) -> Vec<usize> {
+        let nodes = self.schedule.as_ref().map_or(0, |schedule| schedule.nodes);
+        let end = self.seen.last().map_or(since, |seen| seen.at);
+        (0..nodes)
+            .filter(|node| {
+                self.was(*node, since).0 == Was::Up && self.was(*node, end) == self.was(*node, since)
+            })
+            .collect()
+    }
+
+    /// How long after a time all that run had equal digests, and each held exactly those that run to be there; and kept
+    /// that until the end. `None` if it never came to that.
+    pub fn settled(&self, since: f64) -> Option<f64> {
+        let nodes = self.observers(since);
+        let mut last: BTreeMap<usize, &Seen> = BTreeMap::new();
+        let mut settled = None;
+        for seen in &self.seen {
+            last.insert(seen.node, seen);
+            if seen.at < since {
+                continue;
+            }
+            let mut all = nodes.iter().map(|node| last.get(node));
+            let digest = last.get(&seen.node).map(|seen| &seen.digest);
+            let right = |seen: &&Seen| {
+                let there = |node: &usize| {
+                    seen.states.get(node).is_some_and(|state| state == "alive" || state == "suspect")
+                };
+                let count = self.schedule.as_ref().map_or(0, |schedule| schedule.nodes);
+                (0..count).all(|node| there(&node) == nodes.contains(&node))
+            };
+            let good = nodes.contains(&seen.node)
+                && all.all(|seen| seen.is_some_and(|seen| Some(&seen.digest) == digest && right(seen)));
+            match (good, settled) {
+                (true, None) => settled = Some(seen.at),
+                (false, Some(_)) if nodes.contains(&seen.node) => settled = None,
+                _ => {}
+            }
+        }
+        settled.map(|at| at - since)
+    }
+
+    /// Nodes that ran and were held dead, and by whom: all but those for which there was a reason. A reason is that one
+    /// of the two was killed, stopped for a second or longer, came back, or that a cut lay between them; until `grace`
+    /// seconds after its end.
+    pub fn false_deaths(&self, grace: f64) -> Vec<(f64, usize, usize)> {
+        let Some(schedule) = &self.schedule else { return Vec::new() };
+        let mut found = Vec::new();
+        for seen in &self.seen {
+            for (node, state) in &seen.states {
+                let held = state == "dead" || state == "left";
+                if held
+                    && *node != seen.node
+                    && !self.excused(schedule, seen.at, seen.node, grace)
+                    && !self.excused(schedule, seen.at, *node, grace)
+                    && !cut_between(schedule, seen.at, seen.node, *node, grace)
+                {
+                    found.push((seen.at, seen.node, *node));
+                }
+            }
+        }
+        found
+    }
+
+    fn excused(&self, schedule: &Schedule, at: f64, node: usize, grace: f64) -> bool {
+        let (was, since) = self.was(node, at);
+        if was != Was::Up || self.last(node, What::Told, at).is_some_and(|told| told > since) {
+            return true;
+        }
+        let recent = |what| self.last(node, what, at).is_some_and(|then| at - then < grace);
+        let stopped = schedule.steps.iter().any(|step| {
+            matches!(&step.fault, Fault::Stop { nodes, seconds }
+                if *seconds >= 1.0 && nodes.has(node, schedule.zones)
+                && step.at <= at && at < step.at + seconds + grace)
+        });
+        recent(What::Killed) || recent(What::Ended) || stopped || recent(What::Started)
+    }
+}
+
+fn cut_between(schedule: &Schedule, at: f64, a: usize, b: usize, grace: f64) -> bool {
+    let cuts = |step: &Step| {
+        let Fault::Link { from, to, how, seconds, .. } = &step.fault else { return false };
+        if !how.cut || at < step.at || at >= step.at + seconds + grace {
+            return false;
+        }
+        let has = |who: &crate::faults::Who, node| who.has(node, schedule.zones);
+        (has(from, a) && has(to, b)) || (has(from, b) && has(to, a))
+    };
+    schedule.steps.iter().any(cuts)
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,6 +6,8 @@
 //! from its arrival on for an exponential time, whatever happens to it, and comes again after a break, a move or a
 //! reject until that time is over.
 
+pub mod fleet;
+
 use hopmoor::broker::{Ask, Broker, Coming, Command, Counters, Order, Said, TransactionId, recorded_site};
 use hopmoor::config::Site as Settled;
 use hopmoor::pool::{Member as Listed, PoolList};
