--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -2,6 +2,7 @@
 
 use crate::identity::Name;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::collections::HashMap;
 
 /// Bytes of a word's fields, at most.
@@ -129,6 +130,23 @@
     }
 }
 
+/// A digest that tells versions of the same thing apart.
+pub fn digest<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Vec<u8> {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.finalize()[..DIGEST_BYTES].to_vec()
+}
+
+/// The room to tell of: the last that was told, unless it has changed by an eighth of the most there could be, or come to
+/// nothing or from it. Each telling goes round the whole fleet.
+pub fn room(told: u32, now: u32, most: u32) -> u32 {
+    let news = now.abs_diff(told) >= (most / 8).max(1) || (now == 0) != (told == 0);
+    if news { now } else { told }
+}
+
 /// A word as it goes round.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Word {
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -109,6 +109,20 @@
     },
 }
 
+impl Step {
+    /// When it is over, in seconds from the start.
+    pub fn until(&self) -> f64 {
+        self.at
+            + match &self.fault {
+                Fault::Stop { seconds, .. } | Fault::Link { seconds, .. } | Fault::Flood { seconds, .. } => {
+                    *seconds
+                }
+                Fault::Rotate { pause } => 2.0 * pause,
+                _ => 0.0,
+            }
+    }
+}
+
 /// Some of the nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -119,10 +119,12 @@
             .collect()
     }
 
-    /// How long after a time all that run had equal digests, and each held exactly those that run to be there; and kept
+    /// How long after a time all that run in the end had equal digests, and each held exactly those that run to be there; and kept
     /// that until the end. `None` if it never came to that.
     pub fn settled(&self, since: f64) -> Option<f64> {
-        let nodes = self.observers(since);
+        let end = self.seen.last().map_or(since, |seen| seen.at);
+        let count = self.schedule.as_ref().map_or(0, |schedule| schedule.nodes);
+        let nodes: Vec<usize> = (0..count).filter(|node| self.was(*node, end).0 == Was::Up).collect();
         let mut last: BTreeMap<usize, &Seen> = BTreeMap::new();
         let mut settled = None;
         for seen in &self.seen {
@@ -136,7 +138,6 @@
                 let there = |node: &usize| {
                     seen.states.get(node).is_some_and(|state| state == "alive" || state == "suspect")
                 };
-                let count = self.schedule.as_ref().map_or(0, |schedule| schedule.nodes);
                 (0..count).all(|node| there(&node) == nodes.contains(&node))
             };
             let good = nodes.contains(&seen.node)
@@ -172,6 +173,32 @@
         found
     }
 
+    /// What it shows, in a few lines: each end and when it was seen, when the fleet settled, deaths without a reason.
+    pub fn told(&self) -> String {
+        use std::fmt::Write as _;
+        let mut text = String::new();
+        let time = |at: Option<f64>| at.map_or("never".to_owned(), |at| format!("{at:.2} s"));
+        for act in self.acts.iter().filter(|act| matches!(act.what, What::Killed | What::Ended)) {
+            let (one, all) = self.end_seen(act.node, act.at);
+            let _ = writeln!(
+                text,
+                "n-{:04} {:?} at {:.1} s: seen by one after {}, by all after {}",
+                act.node,
+                act.what,
+                act.at,
+                time(one),
+                time(all)
+            );
+        }
+        if let Some(schedule) = &self.schedule {
+            let last = schedule.steps.iter().map(Step::until).fold(0.0, f64::max);
+            let _ =
+                writeln!(text, "settled after the last fault ({last:.1} s): {}", time(self.settled(last)));
+        }
+        let _ = writeln!(text, "nodes held dead without a reason: {}", self.false_deaths(10.0).len());
+        text
+    }
+
     fn excused(&self, schedule: &Schedule, at: f64, node: usize, grace: f64) -> bool {
         let (was, since) = self.was(node, at);
         if was != Was::Up || self.last(node, What::Told, at).is_some_and(|told| told > since) {
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,7 +1,9 @@
 //! What operators call: one HTTP/1.1 call a connection, as a state machine that is fed bytes (RFC 9112).
 
 use crate::broker::{ClassCounts, Figures};
+use hopmoor_fleet::{self as fleet, View};
 use httparse::Status;
+use serde_json::{Value, json};
 use std::fmt::Write;
 
 /// The longest head that is taken, and the most fields in it.
@@ -19,14 +21,17 @@
     Drain,
     /// Take clients again.
     Resume,
+    /// What the node knows of its fleet.
+    Fleet,
 }
 
 /// Each place with the one method it takes.
-const PLACES: [(&str, &str, Ask); 4] = [
+const PLACES: [(&str, &str, Ask); 5] = [
     ("/-/ready", "GET", Ask::Ready),
     ("/-/metrics", "GET", Ask::Metrics),
     ("/-/drain", "PUT", Ask::Drain),
     ("/-/resume", "PUT", Ask::Resume),
+    ("/-/fleet", "GET", Ask::Fleet),
 ];
 
 /// A call that is refused without asking the node.
@@ -75,8 +80,12 @@
     if *takes == method { Ok(*ask) } else { Err(Refused::Method(takes)) }
 }
 
-/// A whole answer, after which the connection ends.
+/// A whole answer in plain text, after which the connection ends.
 pub fn answer(status: u16, more: &str, body: &str) -> Vec<u8> {
+    answer_in("text/plain; charset=utf-8", status, more, body)
+}
+
+fn answer_in(kind: &str, status: u16, more: &str, body: &str) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -89,7 +98,7 @@
     };
     let length = body.len();
     format!(
-        "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: {length}\r\n\
+        "HTTP/1.1 {status} {reason}\r\nContent-Type: {kind}\r\nContent-Length: {length}\r\n\
          {more}Connection: close\r\n\r\n{body}"
     )
     .into_bytes()
@@ -108,6 +117,52 @@
     }
 }
 
+/// What a node knows of its fleet, as JSON.
+pub fn fleet(view: &View) -> Vec<u8> {
+    let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+    let members: Vec<Value> = view
+        .members
+        .iter()
+        .map(|seen| {
+            let mut member = json!({
+                "name": &*seen.id.name, "state": seen.state.text(), "incarnation": seen.id.incarnation,
+                "advertise": seen.id.address.to_string(), "heard_ms": seen.heard_ms,
+            });
+            if let Some(said) = &seen.said {
+                member["zone"] = json!(said.zone);
+                member["clients"] = json!(said.clients);
+                member["admin"] = json!(said.admin);
+                member["ready"] = json!(said.ready.text());
+                member["program"] = json!(hex(&said.program));
+                member["config"] = json!(hex(&said.config));
+                member["up_ms"] = json!(said.up_ms);
+                member["room"] = json!(said.room);
+            }
+            member
+        })
+        .collect();
+    let whole = json!({
+        "node": &*view.id.name, "incarnation": view.id.incarnation, "digest": hex(&view.digest),
+        "settled": view.settled, "doubts": view.doubts,
+        "superseded_by": view.superseded_by.as_ref().map(|id| id.incarnation),
+        "members": members,
+    });
+    answer_in("application/json", 200, "", &(whole.to_string() + "\n"))
+}
+
+/// The fleet's figures, in the same form.
+pub fn fleet_metrics((alive, suspect, dead): (usize, usize, usize), figures: &fleet::Figures) -> String {
+    let fleet::Figures { datagrams_in, datagrams_out, bytes_in, bytes_out, refused, view_changes, .. } =
+        figures;
+    let fleet::Figures { exchanges, false_alarms, stalls, .. } = figures;
+    format!(
+        "fleet.alive={alive}\nfleet.suspect={suspect}\nfleet.dead={dead}\nfleet.datagrams_in={datagrams_in}\n\
+         fleet.datagrams_out={datagrams_out}\nfleet.bytes_in={bytes_in}\nfleet.bytes_out={bytes_out}\n\
+         fleet.refused={refused}\nfleet.view_changes={view_changes}\nfleet.exchanges={exchanges}\n\
+         fleet.false_alarms={false_alarms}\nfleet.stalls={stalls}\n"
+    )
+}
+
 /// The figures as lines `name=value`; `classes` are the names of the classes in the order of their numbers.
 pub fn metrics(classes: &[String], figures: &Figures) -> String {
     let mut text = String::new();
--- a/src/broker/leaving.rs
+++ b/src/broker/leaving.rs
@@ -18,6 +18,33 @@
 const END_FROM_MS: Millis = 2_000.0;
 const END_MS: Millis = 3_100.0;
 
+/// Why a node would not serve a new client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unready {
+    /// Discovery or the inventory has not spoken yet.
+    NoList,
+    /// Nobody is on the list.
+    NoMember,
+    /// A later process has its name.
+    Superseded,
+    /// It was told to drain.
+    Draining,
+    /// It ends.
+    Ending,
+}
+
+impl std::fmt::Display for Unready {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Unready::NoList => "no list yet",
+            Unready::NoMember => "no member listed",
+            Unready::Superseded => "a later process has this node's name",
+            Unready::Draining => "draining",
+            Unready::Ending => "ending",
+        })
+    }
+}
+
 /// Moves spread evenly over a time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Spread {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -26,6 +26,7 @@
 use counters::{Classes, count_bad};
 use delay::Delays;
 use hopmoor_record as record;
+pub use leaving::Unready;
 use leaving::{Leaving, Spread};
 use pool::Pool;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -107,6 +108,8 @@
     watching: bool,
     ready: bool,
     leaving: Leaving,
+    /// A later process has this node's name.
+    superseded: bool,
     /// A step of it is due.
     stepping: bool,
     orders: VecDeque<Order>,
@@ -139,6 +142,7 @@
             watching: false,
             ready: false,
             leaving: Leaving::Not,
+            superseded: false,
             stepping: false,
             orders: VecDeque::new(),
             counters: Counters::default(),
@@ -240,16 +244,22 @@
     }
 
     /// Whether the node would serve a new client now: a list is in use, and it neither drains nor ends.
-    pub fn standing_by(&self) -> Result<(), &'static str> {
+    pub fn standing_by(&self) -> Result<(), Unready> {
         match self.leaving {
-            Leaving::Not if !self.ready => Err("no list yet"),
-            Leaving::Not if self.pool.members().next().is_none() => Err("no member listed"),
+            Leaving::Not if self.superseded => Err(Unready::Superseded),
+            Leaving::Not if !self.ready => Err(Unready::NoList),
+            Leaving::Not if self.pool.members().next().is_none() => Err(Unready::NoMember),
             Leaving::Not => Ok(()),
-            Leaving::Drain(_) => Err("draining"),
-            Leaving::End(_) => Err("ending"),
+            Leaving::Drain(_) => Err(Unready::Draining),
+            Leaving::End(_) => Err(Unready::Ending),
         }
     }
 
+    /// A later process has this node's name, or no longer: until then no front is to send clients here.
+    pub fn set_superseded(&mut self, superseded: bool) {
+        self.superseded = superseded;
+    }
+
     // ---- Pool ----
 
     /// Discovery has answered.
@@ -335,7 +345,7 @@
     pub fn hear(&mut self, now: Millis, id: TransactionId, said: Said) {
         match said {
             Said::Ask(ask) => self.asked(now, id, ask),
-            Said::Ping if !self.leaving.takes_clients() => {
+            Said::Ping if self.superseded || !self.leaving.takes_clients() => {
                 self.orders.push_back(Order::Front(id, Command::Unready))
             }
             Said::Ping if self.ready => self.orders.push_back(Order::Front(id, Command::Ready)),
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -214,7 +214,7 @@
     assert_eq!(bench.commands(id), [Command::Ready]);
     assert_eq!(bench.broker.standing_by(), Ok(()));
     bench.broker.listed(bench.now, list(true, vec![]));
-    assert_eq!(bench.broker.standing_by(), Err("no member listed"));
+    assert_eq!(bench.broker.standing_by(), Err(Unready::NoMember));
 }
 
 #[test]
--- a/src/config.rs
+++ b/src/config.rs
@@ -32,6 +32,8 @@
     pub site: Site,
     /// Where the node records what happens; the platform's configuration never sets it.
     pub records: Option<Records>,
+    /// How it finds its fleet; the platform's configuration never sets it.
+    pub fleet: Option<Fleet>,
 }
 
 impl Config {
@@ -62,6 +64,23 @@
     pub keep: Keep,
 }
 
+/// How a node finds the others of its fleet, and is found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Where it listens, for datagrams and connections.
+    pub listen: SocketAddr,
+    /// Where others reach it; none: where it listens.
+    pub advertise: Option<SocketAddr>,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The file of keys.
+    pub keys: PathBuf,
+    /// Its zone, as others are told.
+    pub zone: String,
+    /// The files that make up its configuration: their digest tells versions apart.
+    pub files: Vec<PathBuf>,
+}
+
 /// The settings: those of the decision module and those that only the network code reads.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Site {
@@ -144,6 +163,7 @@
         name: raw.name,
         site,
         records: None,
+        fleet: None,
     })
 }
 
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -202,6 +202,13 @@
             if inventory.pool.members.iter().any(|known| known.name == member.name) {
                 return wrong(format!("members: {} is there twice", member.name));
             }
+            // One that stands there by two names would be sent twice what it can do.
+            if let Some(known) = inventory.pool.members.iter().find(|known| known.dial == member.dial) {
+                return wrong(format!(
+                    "members: {} and {} are both at {}",
+                    known.name, member.name, member.dial
+                ));
+            }
             if !(member.weight.is_finite() && member.weight > 0.0) {
                 return wrong(format!("members: {}: weight is not above zero", member.name));
             }
@@ -297,6 +304,7 @@
         for (from, to, named) in [
             ("127.0.0.1:5302", "chat-b.example:5302", "chat-b"),
             ("chat-b", "chat-a", "twice"),
+            ("127.0.0.1:5302", "127.0.0.1:5301", "chat-a and chat-b are both at 127.0.0.1:5301"),
             ("deadline_ms: 4000", "deadline_ms: soon", "deadline_ms"),
             ("team: kiln, g", "team: kilm, g", "kilm"),
             ("maximum: 60", "maximum: 6", "maximum"),
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -104,8 +104,17 @@
         },
         Ask::Metrics => {
             let figures = node.broker.borrow().figures(node.clock.now());
-            admin::answer(200, "", &admin::metrics(classes, &figures))
+            let mut text = admin::metrics(classes, &figures);
+            if let Some(link) = &*node.fleet.borrow() {
+                text += &link.metrics();
+            }
+            admin::answer(200, "", &text)
         }
+        Ask::Fleet => match &*node.fleet.borrow() {
+            Some(link) => admin::fleet(&link.view(node)),
+            None if node.in_fleet => admin::answer(503, "", "the fleet's port is still another process's\n"),
+            None => admin::refusal(Refused::Unknown),
+        },
         Ask::Drain => {
             let done = node.with(|broker, now| broker.drain(now));
             said(node, "drain", done, "draining\n")
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -2,6 +2,7 @@
 
 use crate::api::Millis;
 use slog::{Drain, Logger, o};
+use std::str::FromStr;
 
 /// Lines that may wait; what comes on top is dropped, and counted in the log.
 const WAITING: usize = 8_192;
@@ -32,15 +33,56 @@
     }
 }
 
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line, with node, incarnation and the time in RFC 3339, for those who gather many nodes' lines.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err("a log format is text or json"),
+        }
+    }
+}
+
 /// The program's log, and a guard that writes out what still waits when it is dropped.
-pub fn logger() -> (Logger, slog_async::AsyncGuard) {
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
-    let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().use_original_order().build().fuse();
+pub fn logger(format: LogFormat, node: &str, incarnation: u64) -> (Logger, slog_async::AsyncGuard) {
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain =
+                slog_term::FullFormat::new(decorator).use_utc_timestamp().use_original_order().build();
+            through_a_thread(drain.fuse(), o!())
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr());
+            let of = o!("node" => node.to_owned(), "incarnation" => incarnation);
+            // Json is not Sync on its own; one thread writes.
+            through_a_thread(std::sync::Mutex::new(drain).fuse(), of)
+        }
+    }
+}
+
+fn through_a_thread<D, T>(drain: D, of: slog::OwnedKV<T>) -> (Logger, slog_async::AsyncGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+    T: slog::SendSyncRefUnwindSafeKV + 'static,
+{
     let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(WAITING)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
-    (Logger::root(drain.fuse(), o!()), guard)
+    (Logger::root(drain.fuse(), of), guard)
 }
 
 #[cfg(test)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The drivers: thin, and the only ones that know sockets, clocks and signals. One thread runs them all.
 
 mod admin;
+mod fleet;
 mod log;
 mod probe;
 mod recorder;
@@ -9,7 +10,7 @@
 mod session;
 mod watch;
 
-pub use log::logger;
+pub use log::{LogFormat, logger};
 
 use crate::api::{BackendId, ClassId, Millis, Outcome};
 use crate::broker::{Broker, Command, LogLine, Order, Said, TransactionId};
@@ -42,19 +43,31 @@
 /// Without a word from discovery the node goes by the list it was given after this.
 const READY_MS: u64 = 2_000;
 
-/// Unix time in milliseconds that only goes forward.
+/// Unix time in milliseconds that only goes forward, from the start of the process on.
 #[derive(Clone, Copy)]
-struct Clock {
+pub struct Clock {
     started: Instant,
     base: Millis,
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
 impl Clock {
-    fn new() -> Self {
+    /// A clock that starts now.
+    pub fn new() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { started: Instant::now(), base: unix.as_secs_f64() * 1_000.0 }
     }
 
+    /// The process among those of its node: Unix milliseconds at its start.
+    pub fn incarnation(&self) -> u64 {
+        self.base as u64
+    }
+
     fn now(&self) -> Millis {
         self.base + self.started.elapsed().as_secs_f64() * 1_000.0
     }
@@ -89,6 +102,9 @@
     timers: Notify,
     keepalive: Duration,
     recorder: Option<Recorder>,
+    /// The link to the fleet, once its port is this process's.
+    fleet: RefCell<Option<Rc<fleet::Link>>>,
+    in_fleet: bool,
 }
 
 impl Node {
@@ -212,7 +228,7 @@
 ///
 /// # Errors
 /// If the address can't be listened on, or the runtime can't be had.
-pub fn serve(config: Config, speaks: Speaks, log: Logger) -> io::Result<()> {
+pub fn serve(config: Config, speaks: Speaks, clock: Clock, log: Logger) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(LocalSet::new().run_until(async {
         let listener = match config.passed_socket {
@@ -220,7 +236,11 @@
             None => listen(config.listen)?,
         };
         let admin = config.admin.map(admin::bind).transpose()?;
-        run(config, speaks, listener, admin, log).await
+        let ports = match &config.fleet {
+            Some(fleet) => fleet::bind(fleet, config.passed_socket.is_some())?,
+            None => None,
+        };
+        run_in(config, speaks, clock, listener, admin, ports, log).await
     }))
 }
 
@@ -245,7 +265,18 @@
     admin: Option<TcpListener>,
     log: Logger,
 ) -> io::Result<()> {
-    let clock = Clock::new();
+    run_in(config, speaks, Clock::new(), listener, admin, None, log).await
+}
+
+async fn run_in(
+    config: Config,
+    speaks: Speaks,
+    clock: Clock,
+    listener: TcpListener,
+    admin: Option<TcpListener>,
+    ports: Option<fleet::Ports>,
+    log: Logger,
+) -> io::Result<()> {
     let mut broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
     let recorder = match &config.records {
         Some(records) => {
@@ -254,7 +285,8 @@
         }
         None => None,
     };
-    let kept_back = if admin.is_some() { admin::SEATS } else { 0 };
+    let fleet_seats = if config.fleet.is_some() { fleet::SEATS } else { 0 };
+    let kept_back = if admin.is_some() { admin::SEATS } else { 0 } + fleet_seats;
     let node = Rc::new(Node {
         clock,
         log,
@@ -272,13 +304,19 @@
         timers: Notify::new(),
         keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
         recorder,
+        fleet: RefCell::default(),
+        in_fleet: config.fleet.is_some(),
     });
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut usr1 = signal(SignalKind::user_defined1())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    info!(node.log, "listening"; "node" => &config.name, "address" => %listener.local_addr()?,
+    info!(node.log, "listening"; "name" => &config.name, "address" => %listener.local_addr()?,
         "version" => env!("CARGO_PKG_VERSION"));
+    if let Some(fleet) = &config.fleet {
+        let said = fleet::first_word(fleet, &listener, admin.as_ref())?;
+        fleet::begin(&node, fleet, &config.name, ports, said);
+    }
     if let Some(admin) = admin {
         info!(node.log, "operators may call"; "address" => %admin.local_addr()?);
         tokio::task::spawn_local(admin::accept(node.clone(), admin, config.site.classes.clone()));
@@ -315,7 +353,10 @@
     loop {
         tokio::select! {
             _ = usr1.recv() => node.print_counters("asked"),
-            _ = hangup.recv() => source.reload(&node),
+            _ = hangup.recv() => {
+                source.reload(&node);
+                fleet::reload(&node);
+            }
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
         }
@@ -329,6 +370,7 @@
 /// Goes on serving while clients are moved, and ends when none is left.
 async fn leave(node: &Rc<Node>, passed: bool) {
     let began = node.clock.now();
+    fleet::leaving(node, passed);
     if passed {
         // Another process accepts on the same queue: what is not accepted yet is for that one.
         node.closed.notify_one();
@@ -348,6 +390,7 @@
     if left > 0 {
         warn!(node.log, "left behind"; "transactions" => left);
     }
+    fleet::leave(node);
 }
 
 async fn timers(node: Rc<Node>) {
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -70,6 +70,11 @@
         (self.most, self.few) = Seats::sizes(sockets);
     }
 
+    /// Transactions that could still be taken in, and the most there could ever be: each may need two descriptors.
+    pub(super) fn room(&self) -> (usize, usize) {
+        (self.most.saturating_sub(self.held) / 2, self.most / 2)
+    }
+
     fn sizes(sockets: usize) -> (usize, usize) {
         (sockets.saturating_sub(BASE).max(4), (sockets / PART).max(2))
     }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,12 +2,14 @@
 //! platform's front with a configuration in the platform's form; and for either what the platform does not give.
 
 use crate::api::{Class, ListedWeight, Millis, Settings, Tenant};
-use crate::config::{self, Config, ConfigError, Records, Site, address};
+use crate::config::{self, Config, ConfigError, Fleet, Records, Site, address};
 use crate::inventory::{self, Inventory};
 use crate::pool::{PoolList, name_hash};
 use crate::xmpp::Realm;
 use hopmoor_record::Keep;
+use hopmoor_seal::Keys;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -35,6 +37,81 @@
     config: PathBuf,
     admin: Option<String>,
     records: Option<RawRecords>,
+    fleet: Option<RawFleet>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFleet {
+    listen: String,
+    advertise: Option<String>,
+    #[serde(default)]
+    seeds: Vec<String>,
+    keys: PathBuf,
+    #[serde(default)]
+    zone: String,
+}
+
+/// Seeds, at most: any of them will do.
+const SEEDS: usize = 64;
+/// Bytes of a zone's name, at most: it goes round in words of limited size.
+const ZONE_BYTES: usize = 64;
+
+impl RawFleet {
+    /// Checks all fields, and names each that is wrong.
+    fn check(self, name: &str, above: &Path, files: Vec<PathBuf>) -> Result<Fleet, ConfigError> {
+        let mut wrong = Vec::new();
+        let mut at = |field: &str, text: &str| -> Option<SocketAddr> {
+            let read = address(&format!("fleet.{field}"), text);
+            // Nobody can be reached at any address at all, or at port 0.
+            let usable = |a: &SocketAddr| field == "listen" || !(a.ip().is_unspecified() || a.port() == 0);
+            match read {
+                Ok(address) if usable(&address) => return Some(address),
+                Ok(address) => wrong.push(format!("fleet.{field}: nobody can be reached at {address}")),
+                Err(ConfigError(error)) => wrong.push(error),
+            }
+            None
+        };
+        let listen = at("listen", &self.listen);
+        let advertise = self.advertise.as_deref().and_then(|text| at("advertise", text));
+        let seeds: Vec<SocketAddr> =
+            self.seeds.iter().enumerate().filter_map(|(n, text)| at(&format!("seeds[{n}]"), text)).collect();
+        if self.advertise.is_none() && listen.is_some_and(|listen| listen.ip().is_unspecified()) {
+            wrong.push("fleet.advertise: wanted where fleet.listen is any address".into());
+        }
+        if self.seeds.len() > SEEDS {
+            wrong.push(format!("fleet.seeds: more than {SEEDS}"));
+        }
+        if self.zone.len() > ZONE_BYTES {
+            wrong.push(format!("fleet.zone: longer than {ZONE_BYTES} bytes"));
+        }
+        if !hopmoor_fleet::identity::is_name(name) {
+            wrong.push(
+                "name: a node of a fleet needs one of 1 to 64 bytes, without control characters".into(),
+            );
+        }
+        let keys = above.join(&self.keys);
+        if let Err(ConfigError(error)) = fleet_keys(&keys) {
+            wrong.push(error);
+        }
+        match listen {
+            Some(listen) if wrong.is_empty() => {
+                Ok(Fleet { listen, advertise, seeds, keys, zone: self.zone, files })
+            }
+            _ => Err(ConfigError(wrong.join("; "))),
+        }
+    }
+}
+
+/// Reads the keys of a fleet.
+///
+/// # Errors
+/// One message that names the file and the field at fault, and no secret.
+pub fn fleet_keys(file: &Path) -> Result<Keys, ConfigError> {
+    let about =
+        |error: &dyn std::fmt::Display| ConfigError(format!("fleet.keys: {}: {error}", file.display()));
+    let json = std::fs::read(file).map_err(|error| about(&error))?;
+    Keys::read(&json).map_err(|error| about(&error))
 }
 
 #[derive(Deserialize)]
@@ -89,6 +166,7 @@
     #[serde(default = "connect_timeout_ms")]
     connect_timeout_ms: Millis,
     records: Option<RawRecords>,
+    fleet: Option<RawFleet>,
 }
 
 fn stanza_bytes() -> usize {
@@ -121,6 +199,12 @@
         }
         config.records =
             raw.records.map(|records| records.check(above)).transpose().map_err(|error| about(&error))?;
+        let files = vec![path.to_owned(), file.clone()];
+        config.fleet = raw
+            .fleet
+            .map(|fleet| fleet.check(&config.name, above, files))
+            .transpose()
+            .map_err(|error| about(&error))?;
         return Ok(Operator { config, front: Front::Platform(file) });
     }
     let raw: RawXmpp = serde_json::from_slice(&json).map_err(|error| about(&error))?;
@@ -144,7 +228,14 @@
         see_other: raw.see_other_host.unwrap_or_else(|| raw.listen.clone()),
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let files = vec![path.to_owned(), file.clone()];
+    let fleet = raw
+        .fleet
+        .map(|fleet| fleet.check(&raw.name, above, files))
+        .transpose()
+        .map_err(|error| about(&error))?;
     let config = Config {
+        fleet,
         seed: name_hash(&raw.name) ^ unix.as_nanos() as u64,
         name: raw.name,
         listen,
