--- a/crates/standin/src/drawn.rs
+++ b/crates/standin/src/drawn.rs
@@ -5,6 +5,11 @@
 /// A small generator (splitmix64): the same schedule from one seed, on every machine and for good.
 struct Draws(u64);
 
+/// To three places: a schedule in a file is the schedule that was drawn.
+fn thousandths(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
 impl Draws {
     fn next(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -19,7 +24,7 @@
     }
 
     fn between(&mut self, least: f64, most: f64) -> f64 {
-        least + (most - least) * (self.next() >> 11) as f64 / (1u64 << 53) as f64
+        thousandths(least + (most - least) * (self.next() >> 11) as f64 / (1u64 << 53) as f64)
     }
 
     fn some(&mut self, nodes: usize, most: usize) -> Vec<usize> {
@@ -51,7 +56,7 @@
         let mut at = 5.0;
         while !kinds.is_empty() && at < seconds - QUIET {
             // What lasts ends before the quiet part.
-            let lasts = draws.between(0.5, 15.0).min(seconds - QUIET - at);
+            let lasts = thousandths(draws.between(0.5, 15.0).min(seconds - QUIET - at));
             let kind = &kinds[draws.below(kinds.len())];
             let some = draws.some(nodes, nodes.div_ceil(4));
             let fault = match kind.as_str() {
@@ -86,7 +91,10 @@
                 }
             };
             steps.push(Step { at, fault });
-            at += draws.between(PAUSE.0, PAUSE.1);
+            at = thousandths(at + draws.between(PAUSE.0, PAUSE.1));
+        }
+        for step in &mut steps {
+            step.at = thousandths(step.at);
         }
         steps.sort_by(|a, b| a.at.total_cmp(&b.at));
         Ok(Schedule { nodes, zones: 3, seconds, seed, steps })
@@ -120,7 +128,7 @@
         let drawn = Schedule::drawn(7, 12, 90.0, &kinds).unwrap();
         assert_eq!(Schedule::drawn(7, 12, 90.0, &kinds), Ok(drawn.clone()));
         assert!(drawn.steps.len() > 8);
-        assert!(Schedule::read(&serde_json::to_string(&drawn).unwrap()) == Ok(drawn.clone()));
+        assert_eq!(Schedule::read(&serde_json::to_string(&drawn).unwrap()), Ok(drawn.clone()));
         assert!(Schedule::drawn(7, 12, 90.0, &["flames".into()]).is_err());
         let stops =
             |schedule: &Schedule| schedule.steps.iter().any(|step| matches!(step.fault, Fault::Stop { .. }));
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -47,7 +47,7 @@
     assert!(after.is_some_and(|after| after <= within), "settled after {after:?} s\n{}", history.told());
 }
 
-fn states<'a>(history: &'a History, of: usize, at: f64) -> impl Iterator<Item = (&'a Seen, &'a str)> {
+fn states(history: &History, of: usize, at: f64) -> impl Iterator<Item = (&Seen, &str)> {
     let seen = history.seen.iter().filter(move |seen| seen.at > at && seen.node != of);
     seen.filter_map(move |seen| Some((seen, seen.states.get(&of)?.as_str())))
 }
