Ask nodes for their fleet view, compare views, and make and rotate fleet keys

Need: operators have to see a view, see where two differ, and get a key file without writing one by hand. Suspicions and remembered dead are no difference, as in the digest.

--- a/crates/ops/src/main.rs
+++ b/crates/ops/src/main.rs
@@ -1,7 +1,9 @@
-//! The operators' program: what the nodes' records hold, as a check, a table, a report or a console.
+//! The operators' program: what the nodes' records hold, as a check, a table, a report or a console; and what running
+//! nodes know of their fleet.
 
 mod console;
 mod demo;
+mod fleet;
 mod records;
 mod report;
 
@@ -11,7 +13,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Reads the records that hopmoor nodes keep (`records` in their operator's file) and shows what happened.
+/// Shows what happened, from the records that hopmoor nodes keep (`records` in their operator's file), and what nodes
+/// know of their fleet.
 #[derive(Parser)]
 #[command(name = "hopmoor-ops", version, about, max_term_width = 100)]
 struct Args {
@@ -30,6 +33,9 @@
     Console(console::Console),
     /// Play a scripted ten-minute incident on stand-ins and record it, to try the other commands on.
     Demo(demo::Demo),
+    /// Ask running nodes what they know of their fleet.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Print a script that completes this program's arguments in a shell.
     Completions {
         /// Which shell.
@@ -86,6 +92,7 @@
         Command::Report(report) => report.run(),
         Command::Console(console) => console.run(),
         Command::Demo(demo) => demo.run(),
+        Command::Fleet(fleet) => fleet.run(),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Args::command(), "hopmoor-ops", &mut io::stdout());
             Ok(ExitCode::SUCCESS)
--- a/crates/seal/src/keys.rs
+++ b/crates/seal/src/keys.rs
@@ -71,6 +71,26 @@
         keys.contains_key(&seal_with).then_some(Keys { seal_with, keys })
     }
 
+    /// The highest number.
+    pub fn newest(&self) -> u32 {
+        self.keys.keys().next_back().copied().unwrap_or_default()
+    }
+
+    /// The number of the key that seals.
+    pub fn seals_with(&self) -> u32 {
+        self.seal_with
+    }
+
+    /// The same keys, of which another one seals; `None` if that is not among them.
+    pub fn sealing_with(&self, id: u32) -> Option<Keys> {
+        Keys::joined(std::slice::from_ref(self), id)
+    }
+
+    /// One of them alone.
+    pub fn only(&self, id: u32) -> Option<Keys> {
+        self.named(id).map(|secret| Keys::new(id, secret))
+    }
+
     /// The file that says the same, as [`Keys::read`] takes it.
     pub fn file(&self) -> String {
         let keys: Vec<serde_json::Value> = self
