Hold exchanges close together as soon as the view changes, not from the next one on

Printed by quarter second: who is there was right everywhere after 1.25 s, words were missing until exchanges came; the next one had been set for calm times, up to 7.5 s away. Change: a change of the view overtakes the exchange that was set (crates/fleet/src/exchange.rs).

--- a/crates/fleet/src/coming.rs
+++ b/crates/fleet/src/coming.rs
@@ -59,7 +59,7 @@
         self.timers.retain(|due| match due {
             Due::Foca(timer) => matches!(timer, foca::Timer::RemoveDown(_)),
             Due::Tell(..) => false,
-            Due::Exchange | Due::Seed | Due::Ask | Due::Rejoin => true,
+            Due::Exchange(_) | Due::Seed | Due::Ask | Due::Rejoin => true,
         });
         let mut wants = Wants::default();
         let _ = self.foca.apply_many(known.into_iter(), false, &mut wants);
@@ -70,7 +70,7 @@
         self.carry_out(now, wants);
         self.version = 0;
         self.speak();
-        self.settling.changed(now);
+        self.unsettled(now);
         let mut wants = Wants::default();
         let _ = self.foca.gossip(&mut wants);
         self.carry_out(now, wants);
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -26,15 +26,14 @@
     changed: Millis,
     /// Turns between the living and the dead.
     turn: u64,
+    /// When the next exchange is due, and which of those that are set it is: one that was set for calm times is overtaken.
+    next: Millis,
+    round: u64,
 }
 
 impl Settling {
     pub(crate) fn new(now: Millis) -> Settling {
-        Settling { changed: now, turn: 0 }
-    }
-
-    pub(crate) fn changed(&mut self, now: Millis) {
-        self.changed = now;
+        Settling { changed: now, turn: 0, next: 0, round: 0 }
     }
 
     pub(crate) fn settled(&self, now: Millis) -> bool {
@@ -63,15 +62,28 @@
         self.settling.settled(now) && !self.coming.stepped_back()
     }
 
-    /// Until the next exchange: drawn, so that nodes started together do not call together.
-    pub(crate) fn exchange_pause(&mut self, now: Millis) -> Millis {
+    /// The view changes: exchanges follow each other quickly for a while.
+    pub(crate) fn unsettled(&mut self, now: Millis) {
+        self.settling.changed = now;
+        if self.settling.next > now + UNSETTLED_MS * 3 / 2 {
+            self.set_exchange(now);
+        }
+    }
+
+    /// Sets the next exchange; its time is drawn, so that nodes started together do not call together.
+    pub(crate) fn set_exchange(&mut self, now: Millis) {
         let most = if self.settling.settled(now) { CALM_MS } else { UNSETTLED_MS };
-        most / 2 + self.rng.random_range(0..=most)
+        let pause = most / 2 + self.rng.random_range(0..=most);
+        self.settling.next = now + pause;
+        self.settling.round += 1;
+        self.timers.set(self.settling.next, Due::Exchange(self.settling.round));
     }
 
-    pub(crate) fn exchange_due(&mut self, now: Millis) {
-        let pause = self.exchange_pause(now);
-        self.timers.set(now + pause, Due::Exchange);
+    pub(crate) fn exchange_due(&mut self, now: Millis, round: u64) {
+        if round != self.settling.round {
+            return;
+        }
+        self.set_exchange(now);
         self.settling.turn += 1;
         // Every other turn goes to the dead, if there are any.
         let dead = self.settling.turn.is_multiple_of(2)
@@ -162,7 +174,7 @@
                     on.done = true;
                     return Ok(self.sealed(&Frame::Same { salt }));
                 }
-                self.settling.changed(now);
+                self.unsettled(now);
                 let wanted = self.rng.random();
                 on.salt = Some(wanted);
                 let entries = self.entries(now);
@@ -175,7 +187,7 @@
             }
             (Frame::State { salt, wanted, entries, .. }, Some(mine)) if salt == mine => {
                 on.done = true;
-                self.settling.changed(now);
+                self.unsettled(now);
                 self.absorb(now, entries);
                 let Some(wanted) = wanted else { return Ok(None) };
                 let entries = self.entries(now);
@@ -271,7 +283,7 @@
             if let Some(word) = word
                 && self.words.borrow_mut().take(word)
             {
-                self.settling.changed(now);
+                self.unsettled(now);
             }
         }
         // The dead that others know of are no news to them.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -114,8 +114,8 @@
     Foca(Timer<Id>),
     /// Tell a suspect that it is one, until so long after the first time.
     Tell(Id, u16, Millis),
-    /// Begin an exchange.
-    Exchange,
+    /// Begin an exchange, unless another was set since.
+    Exchange(u64),
     /// Ask a seed.
     Seed,
     /// Ask whether the later process of this name is still there.
@@ -280,8 +280,7 @@
             leaving: false,
         };
         fleet.say(said);
-        let first = fleet.exchange_pause(now);
-        fleet.timers.set(now + first, Due::Exchange);
+        fleet.set_exchange(now);
         fleet
     }
 
@@ -359,7 +358,7 @@
             match due {
                 Due::Foca(timer) => self.foca_timer(now, timer),
                 Due::Tell(id, refuted, until) => self.tell(now, id, refuted, until),
-                Due::Exchange => self.exchange_due(now),
+                Due::Exchange(round) => self.exchange_due(now, round),
                 Due::Seed => self.seed_due(now),
                 Due::Ask => self.ask(now),
                 Due::Rejoin => self.come_again(now),
@@ -443,7 +442,7 @@
         if changed {
             self.changes += 1;
             self.figures.view_changes += 1;
-            self.settling.changed(now);
+            self.unsettled(now);
         }
         if wants.defunct {
             self.held_dead(now);
