Reckon parts of the pool by how many nodes the fleet's view holds, a lost one fading

Need: newcomers' parts and first calls go by the number of nodes in the settings, which is a guess (1 for XMPP) and never changes. Change: Event::Sharing sets it, told by the node only while its view is settled and somebody is in it. A lost node counts in full for 60 s and fades over 120 s, one that left counts no more (crates/fleet/src/sharing.rs, with the reasons).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `health`: when a node doubts itself. `timers`: what is due, and that time stands still while the node does.
 //! - `coming`: coming again after being held dead, and two processes of one name.
 //! - `exchange`: what settles two views that differ.
+//! - `sharing`: how many nodes share the pool.
 //! - `view`: the view as operators and the node read it, and its digest.
 //!
 //! Membership itself is SWIM by `foca`. What this does not do: agree. A view is one node's belief, late by a second or
@@ -17,6 +18,7 @@
 mod health;
 pub mod identity;
 mod replay;
+mod sharing;
 mod timers;
 mod view;
 mod wire;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -59,6 +59,8 @@
     pub doubts: u32,
     /// Whether the view has stood for a while.
     pub settled: bool,
+    /// How many nodes share the pool, where that can be told.
+    pub sharing: Option<u32>,
     /// The later process of this name that it stepped back from.
     pub superseded_by: Option<Id>,
     /// All nodes, itself included, by name.
@@ -157,6 +159,7 @@
             digest: self.digest(),
             doubts: self.health.doubts(),
             settled: self.is_settled(now),
+            sharing: self.sharing(now),
             superseded_by: self.superseded_by().cloned(),
             members,
         }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -384,7 +384,8 @@
     };
     let states = by("state");
     let digest = view["digest"].as_str()?.get(..16)?.to_owned();
-    Some(Seen { at, node, digest, states, ready: by("ready"), itself_ready })
+    let sharing = view["sharing"].as_u64().map(|nodes| nodes as u32);
+    Some(Seen { at, node, digest, states, ready: by("ready"), itself_ready, sharing })
 }
 
 /// Datagrams that nobody sealed.
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -59,6 +59,9 @@
     pub ready: BTreeMap<usize, String>,
     /// Whether the node says that it is ready, if it was asked.
     pub itself_ready: Option<bool>,
+    /// With how many it holds to share the pool, itself included, where it can tell.
+    #[serde(default)]
+    pub sharing: Option<u32>,
 }
 
 /// Whether a node was there.
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -449,7 +449,8 @@
                 .collect();
             let digest = view.digest[..8].iter().map(|byte| format!("{byte:02x}")).collect();
             let itself_ready = Some(of.ready == Ready::Serving && view.superseded_by.is_none());
-            self.history.seen.push(Seen { at, node, digest, states, ready, itself_ready });
+            let sharing = view.sharing;
+            self.history.seen.push(Seen { at, node, digest, states, ready, itself_ready, sharing });
         }
     }
 
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -143,7 +143,7 @@
         .collect();
     let whole = json!({
         "node": &*view.id.name, "incarnation": view.id.incarnation, "digest": hex(&view.digest),
-        "settled": view.settled, "doubts": view.doubts,
+        "settled": view.settled, "sharing": view.sharing, "doubts": view.doubts,
         "superseded_by": view.superseded_by.as_ref().map(|id| id.incarnation),
         "members": members,
     });
--- a/src/api.rs
+++ b/src/api.rs
@@ -218,6 +218,11 @@
         self.tenants.get(tenant.0 as usize).and_then(|tenant| tenant.contract)
     }
 
+    /// First calls to discovery are spread over this.
+    pub fn first_ask_ms(&self) -> Millis {
+        (f64::from(self.balancers) * 50.0).min(self.ask_within_ms / 2.0)
+    }
+
     /// One gateway's part of the connections that all tenants may have open inside their shares; 0 if unstated.
     pub fn quota_part(&self) -> f64 {
         let all: f64 = self.tenants.iter().map(|tenant| tenant.quota_connections).sum();
@@ -333,6 +338,8 @@
     },
     /// A call to discovery failed or the subscription broke.
     DiscoveryFailed,
+    /// So many gateways share the pool, this one included: what the settings say of it is overtaken.
+    Sharing(u32),
     /// A client asks for a connection.
     Request(Request),
     /// A connection that was open through this gateway when it started.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -304,6 +304,12 @@
         self.feed(now, Event::DiscoveryFailed);
     }
 
+    /// So many nodes share the pool, this one included, as far as its view of the fleet tells.
+    pub fn sharing(&mut self, now: Millis, nodes: u32) {
+        self.nodes = nodes as usize;
+        self.feed(now, Event::Sharing(nodes));
+    }
+
     /// A probe has ended. `message_ms` is how long a message takes there, as the member reports it.
     pub fn probed(
         &mut self,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -105,6 +105,7 @@
             Event::LoadChanged { id, load } => self.load_changed(id, load),
             Event::MessageDelay { backend, took_ms } => self.message_delay(now, backend, took_ms),
             Event::PeerMessage { .. } => {}
+            Event::Sharing(nodes) => self.settings.balancers = nodes,
             Event::Timer(TimerId(TIMER_INTERVAL)) => self.interval(now, out),
             Event::Timer(TimerId(TIMER_PROBE)) => self.probe(now, out),
             Event::Timer(TimerId(TIMER_DISCOVERY)) => self.ask(now, out),
@@ -121,8 +122,7 @@
         }
         if self.settings.discovery_on_request {
             // All gateways may have started together: their first calls are spread out.
-            let spread = (f64::from(self.settings.balancers) * 50.0).min(self.settings.ask_within_ms / 2.0);
-            timer(draw(&mut self.rng) * spread, TIMER_DISCOVERY);
+            timer(draw(&mut self.rng) * self.settings.first_ask_ms(), TIMER_DISCOVERY);
         }
     }
 
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -61,6 +61,8 @@
     wake: Notify,
     closed: Cell<bool>,
     refused: Cell<(f64, u64)>,
+    /// How many nodes the broker was told to share with.
+    sharing: Cell<Option<u32>>,
 }
 
 impl Link {
@@ -173,6 +175,7 @@
         wake: Notify::new(),
         closed: Cell::new(false),
         refused: Cell::default(),
+        sharing: Cell::new(None),
     });
     *node.fleet.borrow_mut() = Some(link.clone());
     let mut looks = tokio::time::interval(LOOK);
@@ -309,6 +312,11 @@
     said.up_ms = (node.clock.now() - node.clock.base) as u64;
     said.room = word::room(said.room, room as u32, most as u32);
     link.fleet.borrow_mut().say(said.clone());
+    let sharing = link.fleet.borrow().sharing(node.clock.now() as u64);
+    if let Some(nodes) = sharing.filter(|_| sharing != link.sharing.replace(sharing)) {
+        info!(node.log, "nodes share the pool"; "nodes" => nodes);
+        node.with(|broker, now| broker.sharing(now, nodes));
+    }
 }
 
 /// Keys and configuration were read anew.
--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -82,6 +82,27 @@
     }
 }
 
+/// Six of ten are lost and come back: nobody takes itself to be one of four, and a node that has gone counts no more.
+#[test]
+fn a_lost_node_still_counts_as_one_that_shares_the_pool() {
+    let history = run(
+        10,
+        45.0,
+        r#"{"at":10,"fault":"kill","nodes":{"only":[0,2,4,6,8,9]}},
+           {"at":22,"fault":"start","nodes":{"only":[0,2,4,6,8,9]}},{"at":33,"fault":"term","nodes":{"only":[3]}}"#,
+    );
+    let told = |from: f64, until: f64| {
+        let seen = history.seen.iter().filter(move |seen| seen.at > from && seen.at < until);
+        let told: std::collections::BTreeSet<u32> = seen.filter_map(|seen| seen.sharing).collect();
+        told
+    };
+    assert_eq!(told(8.0, 33.0), [10].into(), "{}", history.told());
+    assert_eq!(told(41.0, 45.0), [9].into(), "{}", history.told());
+    let survivor =
+        |seen: &&Seen| seen.node == 1 && seen.at > 17.0 && seen.at < 22.0 && seen.sharing == Some(10);
+    assert!(history.seen.iter().any(|seen| survivor(&seen)), "it is told while the six are gone");
+}
+
 #[test]
 fn three_parts_with_ends_and_starts_in_them_become_one_again() {
     let cut = |some: &str| {
