--- a/crates/world/examples/fleet_figures.rs
+++ b/crates/world/examples/fleet_figures.rs
@@ -1,7 +1,7 @@
 //! Figures of fleets in virtual time, for `docs/fleet-view.md`:
 //!
 //! ```text
-//! cargo run --release -p hopmoor-world --example fleet_figures -- crash|heal|rest|loss [nodes] [seeds] [seconds]
+//! cargo run --release -p hopmoor-world --example fleet_figures -- crash|heal|rest|memory|loss [nodes] [seeds] [seconds]
 //! ```
 
 use hopmoor_standin::faults::{Fault, Manner, Schedule, Step, Who};
@@ -93,6 +93,20 @@
     );
 }
 
+/// Memory of this process over what it holds: every node's view of every other, and the run itself.
+fn memory(nodes: usize) {
+    let resident = || -> u64 {
+        let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+        text.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0) * 4_096
+    };
+    let before = resident();
+    let mut run = Run::new(schedule(nodes, 60.0, 1, Vec::new()), QUIET);
+    run.until(30.0);
+    let known: usize = (0..nodes).filter_map(|node| run.fleet(node)).map(|fleet| fleet.counts().0 - 1).sum();
+    let bytes = resident().saturating_sub(before);
+    println!("memory, {nodes} nodes: {} bytes a known node ({known} of them)", bytes / known.max(1) as u64);
+}
+
 /// A quarter of what goes to and from five in a hundred is lost; nobody else may be held dead, by anybody.
 fn loss(nodes: usize, seeds: u64, seconds: f64) {
     for seed in 0..seeds {
@@ -129,7 +143,8 @@
         Some("crash") => crash(nodes, seeds),
         Some("heal") => heal(nodes, seeds),
         Some("rest") => rest(nodes),
+        Some("memory") => memory(nodes),
         Some("loss") => loss(nodes, seeds, number(3, 600.0)),
-        _ => eprintln!("crash|heal|rest|loss [nodes] [seeds] [seconds]"),
+        _ => eprintln!("crash|heal|rest|memory|loss [nodes] [seeds] [seconds]"),
     }
 }
