Test the command line's help, JSON logs and what check says of a fleet

Change: tests for help by command, a bad log format, JSON lines with node, incarnation and time, and a fleet section wrong in six fields at once, all named, no secret shown.

--- a/tests/fleet_node.rs
+++ b/tests/fleet_node.rs
@@ -67,6 +67,46 @@
     member(admin, name).is_some_and(|member| member["state"] == state)
 }
 
+/// All fields that are wrong are named at once, and no secret is.
+#[test]
+fn check_names_every_bad_field_of_the_fleet() {
+    let folder = Folder::new();
+    let operator = folder.operator("a", "127.0.0.1:1", 1, &[]);
+    let check = || {
+        let output = hopmoor().args(["check", "--operator"]).arg(&operator).output().unwrap();
+        (output.status.success(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    assert_eq!(check(), (true, String::new()));
+    let fleet = json!({
+        "listen": "0.0.0.0:7400", "seeds": ["127.0.0.1:0", "kiln3.example.org:7400"], "keys": "keys.json",
+        "zone": "z".repeat(65),
+    });
+    std::fs::write(folder.file("keys.json"), r#"{"seal_with":1,"keys":[{"id":1,"secret":"c2hvcnQ="}]}"#)
+        .unwrap();
+    std::fs::write(&operator, json!({"config": "a.config.json", "fleet": fleet}).to_string()).unwrap();
+    let (good, told) = check();
+    assert!(!good && !told.contains("c2hvcnQ"), "{told}");
+    for field in
+        ["fleet.advertise", "fleet.seeds[0]", "fleet.seeds[1]", "fleet.keys", "keys[0].secret", "fleet.zone"]
+    {
+        assert!(told.contains(field), "{field}: {told}");
+    }
+}
+
+/// One object a line, each with node, incarnation and time.
+#[test]
+fn logs_are_lines_that_a_machine_reads() {
+    let (site, folder) = (site(&[77]), Folder::new());
+    let operator = folder.operator("a", &site.discovery.address(), free_port(), &[]);
+    let node = launch("{}", |command| {
+        command.args(["--log-format", "json", "--operator"]).arg(&operator);
+    });
+    let line: Value = serde_json::from_str(&node.logs("in a fleet")).unwrap();
+    assert_eq!(line["node"], "a");
+    assert_eq!(line["incarnation"], line["as"]);
+    assert!(line["ts"].as_str().unwrap().ends_with('Z') && line["level"] == "INFO", "{line}");
+}
+
 #[test]
 fn without_a_fleet_there_is_none() {
     let site = site(&[77]);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -131,7 +131,17 @@
         let (code, output) = run(args);
         assert!(code == 2 && String::from_utf8_lossy(&output.stderr).contains("usage"), "{args:?}");
     }
+    assert_eq!(run(&["serve", "--log-format", "loud"]).0, 2);
     assert_eq!(run(&["help"]).0, 0);
+    for command in ["serve", "check", "version", "help"] {
+        let (code, output) = run(&[command, "--help"]);
+        let told = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert!(
+            code == 0 && output.stderr.is_empty() && told.contains("usage: hopmoor"),
+            "{command}: {told}"
+        );
+    }
+    assert!(String::from_utf8_lossy(&run(&["serve", "--help"]).1.stdout).contains("--log-format"));
     assert!(String::from_utf8_lossy(&run(&["version"]).1.stdout).starts_with("hopmoor "));
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/Cargo.toml");
     for command in ["check", "serve"] {
