--- a/crates/standin/examples/recorder_cost.rs
+++ b/crates/standin/examples/recorder_cost.rs
@@ -7,7 +7,7 @@
 //!
 //! The arguments: connections that stand at each node, and how many turns of 0.4 s each node gets. With `control` as a
 //! third neither records: what they differ by then is the noise. With `calls` the second takes operators' calls in place
-//! of recording, and is asked for its figures ten times a second.
+//! of recording, and is asked for its figures ten times a second. With `fleet` it is in a fleet, with a third node.
 
 use hopmoor_standin::sockets::{Client, Discovery, Member, Stage};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -32,6 +32,8 @@
     Nothing,
     Records,
     Calls,
+    /// In a fleet: its own port, and where another is found.
+    Fleet(u16, u16),
 }
 
 struct Node {
@@ -60,6 +62,15 @@
             std::fs::create_dir(folder.join("records"))?;
             operator += r#","records":{"folder":"records"}"#;
         }
+        if let With::Fleet(own, other) = with {
+            // 32 bytes of one letter, in base64.
+            let secret = "QUFBQUFBQUFBQUFBQUFBQUFBQUFBQUFBQUFBQUFBQUE=";
+            let keys = format!(r#"{{"seal_with":1,"keys":[{{"id":1,"secret":"{secret}"}}]}}"#);
+            std::fs::write(folder.join("keys.json"), keys)?;
+            operator += &format!(
+                r#","fleet":{{"listen":"127.0.0.1:{own}","seeds":["127.0.0.1:{other}"],"keys":"keys.json"}}"#
+            );
+        }
         if with == With::Calls {
             operator += r#","admin":"127.0.0.1:0""#;
         }
@@ -183,6 +194,10 @@
     sent
 }
 
+fn free_port() -> std::io::Result<u16> {
+    Ok(std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
 fn main() -> Result<(), Failure> {
     let mut args = std::env::args().skip(1);
     let standing: usize = args.next().map_or(Ok(1_000), |text| text.parse())?;
@@ -190,6 +205,7 @@
     let second = match args.next().as_deref() {
         Some("control") => With::Nothing,
         Some("calls") => With::Calls,
+        Some("fleet") => With::Fleet(free_port()?, free_port()?),
         _ => With::Records,
     };
     let folder = std::env::temp_dir().join(format!("hopmoor-cost-{}", std::process::id()));
@@ -204,6 +220,12 @@
         Node::start(&folder, "off", &discovery.address(), With::Nothing)?,
         Node::start(&folder, "on", &discovery.address(), second)?,
     ];
+    let _third = match second {
+        With::Fleet(own, other) => {
+            Some(Node::start(&folder, "third", &discovery.address(), With::Fleet(other, own))?)
+        }
+        _ => None,
+    };
     let load = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let mut held = Vec::new();
     for node in &nodes {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -108,12 +108,13 @@
     clients: &TcpListener,
     admin: Option<&TcpListener>,
 ) -> io::Result<Said> {
-    let program = std::env::current_exe().and_then(std::fs::read)?;
+    // One whose file can't be read any more has no digest, and says none.
+    let program = std::env::current_exe().and_then(std::fs::read);
     Ok(Said {
         zone: config.zone.clone(),
         clients: clients.local_addr()?.to_string(),
         admin: admin.map(TcpListener::local_addr).transpose()?.map_or_else(String::new, |at| at.to_string()),
-        program: word::digest([program.as_slice()]),
+        program: program.map_or_else(|_| Vec::new(), |program| word::digest([program.as_slice()])),
         config: digest(&config.files).unwrap_or_default(),
         ..Said::default()
     })
