Let a node that comes again declare nobody dead until a probe of it was answered

Another part was the schedule's: nodes that were both seeds had moved, and a start named their old addresses; now it names where they are. Change: coming.unproven (crates/fleet/src/coming.rs): suspects stay suspects until an acknowledgement addressed to this coming arrives.

--- a/crates/fleet/src/coming.rs
+++ b/crates/fleet/src/coming.rs
@@ -18,12 +18,24 @@
     /// Whether it is to come again soon.
     due: bool,
     last: Option<Millis>,
+    /// Nobody has answered a probe of this coming yet: that others are dead is not this node's to say. Guards against one
+    /// that hears others and is not heard: it would find all of them dead, and be believed as soon as it is heard.
+    unproven: bool,
 }
 
 impl Coming {
     pub(crate) fn stepped_back(&self) -> bool {
         self.by.is_some()
     }
+
+    pub(crate) fn is_proven(&self) -> bool {
+        !self.unproven
+    }
+
+    /// A probe was answered: this coming is heard.
+    pub(crate) fn prove(&mut self) {
+        self.unproven = false;
+    }
 }
 
 impl Fleet {
@@ -53,6 +65,7 @@
     /// dead ones there, which the others would believe.
     fn come_as(&mut self, now: Millis, incarnation: u64) {
         self.coming.last = Some(now);
+        self.coming.unproven = true;
         self.id = Id { incarnation, ..self.id.clone() };
         let known: Vec<foca::Member<Id>> = self.foca.iter_membership_state().cloned().collect();
         self.foca = crate::library(&self.id, &mut self.rng, &self.words);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -395,6 +395,10 @@
             if self.known(&member_id.name) != suspect {
                 return;
             }
+            if !self.coming.is_proven() {
+                self.timers.set(now + SUSPECT_MS, Due::Foca(timer));
+                return;
+            }
         }
         let mut wants = Wants::default();
         // Errors tell of a probe that a changed identity interrupted: it goes on with the next.
@@ -530,6 +534,11 @@
                 if self.earlier(now, &header.src) {
                     return Ok(());
                 }
+                if matches!(header.message, foca::Message::Ack(_) | foca::Message::ForwardedAck { .. })
+                    && header.dst == self.id
+                {
+                    self.coming.prove();
+                }
                 let kept = self.room_for(data);
                 let mut wants = Wants::default();
                 // Errors tell of datagrams for an earlier coming of this node, and of words that can't be read.
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -195,8 +195,12 @@
 
     /// Starts processes at these places, together.
     async fn start(&mut self, places: &[usize]) -> io::Result<()> {
-        let seeds: Vec<SocketAddr> =
-            self.places.iter().take(SEEDS).map(|place| place.relay.address()).collect();
+        // As configuration has them at a process's start: where those nodes are now.
+        let now = |node: usize| {
+            let place = self.places.iter().rev().find(|place| place.node == node)?;
+            Some(place.relay.address())
+        };
+        let seeds: Vec<SocketAddr> = (0..SEEDS.min(self.schedule.nodes)).filter_map(now).collect();
         let network = network();
         let mut starting = JoinSet::new();
         for &number in places {
--- a/crates/world/examples/fleet_figures.rs
+++ b/crates/world/examples/fleet_figures.rs
@@ -1,7 +1,7 @@
 //! Figures of fleets in virtual time, for `docs/fleet-view.md`:
 //!
 //! ```text
-//! cargo run --release -p hopmoor-world --example fleet_figures -- crash|heal|rest|memory|loss [nodes] [seeds] [seconds]
+//! cargo run --release -p hopmoor-world --example fleet_figures -- crash|heal|rest|memory|drawn|loss [nodes] [seeds] [seconds]
 //! ```
 
 use hopmoor_standin::faults::{Fault, Manner, Schedule, Step, Who};
@@ -135,6 +135,38 @@
     }
 }
 
+/// What a drawn schedule shows that it should not; none if all is well.
+fn wrong(schedule: &Schedule) -> Option<String> {
+    let history = Run::new(schedule.clone(), Watch { every_ms: 200, seeds: 2 }).play();
+    let last = schedule.steps.iter().map(Step::until).fold(0.0, f64::max);
+    let (dead, again) = (history.false_deaths(GRACE_S), history.needless_returns(GRACE_S));
+    match history.settled(last) {
+        _ if !dead.is_empty() => Some(format!("held dead without a reason: {:?}", dead.first())),
+        _ if !again.is_empty() => Some(format!("came again without a reason: {:?}", again.first())),
+        Some(after) if after <= SETTLES_S => None,
+        after => Some(format!("settled after {after:?}")),
+    }
+}
+
+/// After a fault's end its traces may be seen for so long; and by then all agree.
+const GRACE_S: f64 = 10.0;
+const SETTLES_S: f64 = 15.0;
+
+/// Drawn schedules; one that shows something wrong is made short and printed.
+fn drawn(nodes: usize, seeds: u64, first: u64) {
+    let kinds: Vec<String> = hopmoor_standin::drawn::KINDS.iter().map(|kind| (*kind).to_owned()).collect();
+    let mut bad = 0;
+    for seed in first..first + seeds {
+        let Ok(schedule) = Schedule::drawn(seed, nodes, 80.0, &kinds) else { continue };
+        if let Some(what) = wrong(&schedule) {
+            bad += 1;
+            let short = schedule.shortened(|shorter| wrong(shorter).is_some());
+            println!("seed {seed}: {what}; short: {}", serde_json::to_string(&short).unwrap_or_default());
+        }
+    }
+    println!("drawn schedules of {nodes} nodes: {bad} of {seeds} show something wrong");
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |at: usize, usual: f64| args.get(at).and_then(|text| text.parse().ok()).unwrap_or(usual);
@@ -144,7 +176,8 @@
         Some("heal") => heal(nodes, seeds),
         Some("rest") => rest(nodes),
         Some("memory") => memory(nodes),
+        Some("drawn") => drawn(nodes, seeds, number(3, 0.0) as u64),
         Some("loss") => loss(nodes, seeds, number(3, 600.0)),
-        _ => eprintln!("crash|heal|rest|memory|loss [nodes] [seeds] [seconds]"),
+        _ => eprintln!("crash|heal|rest|memory|drawn|loss [nodes] [seeds] [seconds]"),
     }
 }
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -168,7 +168,10 @@
     fn start(&mut self, node: usize, process: usize) {
         let address = address(process);
         let id = Id { name: name(node).into(), incarnation: self.now, address };
-        let seeds = (0..self.watch.seeds).map(self::address).filter(|seed| *seed != address).collect();
+        // As configuration has them at its start: where those nodes are now.
+        let now = |seed: usize| self::address(self.of[seed].last().copied().unwrap_or(seed));
+        let seeds =
+            (0..self.watch.seeds.min(self.of.len())).map(now).filter(|seed| *seed != address).collect();
         let said = Said {
             zone: format!("z-{}", node % self.schedule.zones.max(1)),
             clients: address.to_string(),
