--- a/crates/fleet/src/coming.rs
+++ b/crates/fleet/src/coming.rs
@@ -66,7 +66,7 @@
     fn come_as(&mut self, now: Millis, incarnation: u64) {
         self.coming.last = Some(now);
         self.coming.unproven = true;
-        self.id = Id { incarnation, ..self.id.clone() };
+        self.id = self.id.come_again(incarnation);
         let known: Vec<foca::Member<Id>> = self.foca.iter_membership_state().cloned().collect();
         self.foca = crate::library(&self.id, &mut self.rng, &self.words);
         self.timers.retain(|due| match due {
@@ -108,7 +108,7 @@
             }
             (self.coming.by.clone().unwrap_or_else(|| self.id.clone()), true)
         } else {
-            match self.known(&id.name) {
+            match self.known(id) {
                 Some((known, _, state)) if known.is_later(id) => (known, state != foca::State::Down),
                 _ => return false,
             }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -253,7 +253,7 @@
                 }
                 continue;
             }
-            match self.known(&id.name) {
+            match self.known(&id) {
                 None if state == Told::Dead => {
                     // Remembered only until it is forgotten elsewhere, or it would go round for ever.
                     if dead_ms < FORGET_MS && room > 0 {
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -1,6 +1,7 @@
 //! Who a node is: its name, where it is reached, and how often it has come.
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,6 +28,20 @@
     pub incarnation: u64,
     /// Where the others reach it.
     pub address: SocketAddr,
+    /// What the name is found by: the library looks through all that it knows for every news, and asks each for its own.
+    #[serde(skip)]
+    key: Key,
+}
+
+/// Half of a name's SHA-256: not even one that holds the fleet's key finds two names that meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(u128);
+
+impl Key {
+    fn of(name: &str) -> Key {
+        let digest: [u8; 32] = Sha256::digest(name.as_bytes()).into();
+        Key(digest.iter().take(16).fold(0, |key, byte| key << 8 | u128::from(*byte)))
+    }
 }
 
 #[derive(Deserialize)]
@@ -41,11 +56,27 @@
 
     fn try_from(raw: Raw) -> Result<Id, Self::Error> {
         let Raw { name, incarnation, address } = raw;
-        if is_name(&name) { Ok(Id { name, incarnation, address }) } else { Err("not a node's name") }
+        if is_name(&name) { Ok(Id::new(name, incarnation, address)) } else { Err("not a node's name") }
     }
 }
 
 impl Id {
+    /// A node's coming.
+    pub fn new(name: impl Into<Name>, incarnation: u64, address: SocketAddr) -> Id {
+        let name = name.into();
+        Id { key: Key::of(&name), name, incarnation, address }
+    }
+
+    /// The same node, come as another incarnation.
+    pub(crate) fn come_again(&self, incarnation: u64) -> Id {
+        Id { incarnation, ..self.clone() }
+    }
+
+    /// Whether the two are of one node.
+    pub fn is_same_node(&self, other: &Id) -> bool {
+        self.key == other.key
+    }
+
     /// Whether this is a later coming than the other; by the address where two came in one millisecond.
     pub fn is_later(&self, other: &Id) -> bool {
         (self.incarnation, self.address) > (other.incarnation, other.address)
@@ -53,7 +84,7 @@
 }
 
 impl foca::Identity for Id {
-    type Addr = Name;
+    type Addr = Key;
 
     /// When and as whom to come again is decided in `coming`, not in the library: it would come again at once, each
     /// time it is told that it is dead.
@@ -61,8 +92,8 @@
         None
     }
 
-    fn addr(&self) -> Name {
-        self.name.clone()
+    fn addr(&self) -> Key {
+        self.key
     }
 
     fn win_addr_conflict(&self, adversary: &Id) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `wire`: datagrams and frames. `replay`: datagrams that come twice.
 //! - `health`: when a node doubts itself. `timers`: what is due, and that time stands still while the node does.
 //! - `coming`: coming again after being held dead, and two processes of one name.
+//! - `hearsay`: what of a datagram is believed.
 //! - `exchange`: what settles two views that differ.
 //! - `sharing`: how many nodes share the pool.
 //! - `view`: the view as operators and the node read it, and its digest.
@@ -16,6 +17,7 @@
 mod coming;
 mod exchange;
 mod health;
+mod hearsay;
 pub mod identity;
 mod replay;
 mod sharing;
@@ -191,6 +193,8 @@
     incarnation: u64,
     window: Window,
     heard: Millis,
+    /// When this coming was first heard.
+    since: Millis,
 }
 
 /// One node's view of its fleet.
@@ -392,7 +396,7 @@
             // foca 2.0 tells a member that it is dead when its time as a suspect is over, even if it has refuted that
             // since: each false alarm would make a node come again.
             let suspect = Some((member_id.clone(), *incarnation, foca::State::Suspect));
-            if self.known(&member_id.name) != suspect {
+            if self.known(member_id) != suspect {
                 return;
             }
             if !self.coming.is_proven() {
@@ -412,7 +416,7 @@
     }
 
     fn forget(&mut self, id: &Id) {
-        if self.known(&id.name).is_some_and(|(known, _, state)| known == *id && state == foca::State::Down) {
+        if self.known(id).is_some_and(|(known, _, state)| known == *id && state == foca::State::Down) {
             self.words.borrow_mut().forget(&id.name);
             self.peers.remove(&id.name);
             self.died.remove(&id.name);
@@ -450,7 +454,7 @@
             self.events.push_back(Event::Down(id, if left { State::Left } else { State::Dead }));
         }
         for id in wants.again {
-            if self.known(&id.name).is_some_and(|(_, _, state)| state != foca::State::Down) {
+            if self.known(&id).is_some_and(|(_, _, state)| state != foca::State::Down) {
                 self.died.remove(&id.name);
                 self.events.push_back(Event::Again(id));
             }
@@ -465,15 +469,15 @@
         }
     }
 
-    /// What is known of a name: who, refutations, state.
-    fn known(&self, name: &str) -> Option<(Id, u16, foca::State)> {
-        let member = self.foca.iter_membership_state().find(|member| *member.id().name == *name)?;
+    /// What is known of a node: who, refutations, state.
+    fn known(&self, of: &Id) -> Option<(Id, u16, foca::State)> {
+        let member = self.foca.iter_membership_state().find(|member| member.id().is_same_node(of))?;
         Some((member.id().clone(), member.incarnation(), member.state()))
     }
 
     /// Tells a suspect so, and again until it has answered or died.
     fn tell(&mut self, now: Millis, about: Id, refuted: u16, until: Millis) {
-        match self.known(&about.name) {
+        match self.known(&about) {
             Some((id, now_refuted, foca::State::Alive)) if id == about && now_refuted > refuted => {
                 // It was alive all along.
                 self.figures.false_alarms += 1;
@@ -539,7 +543,7 @@
                 {
                     self.coming.prove();
                 }
-                let kept = self.room_for(data);
+                let kept = self.believed(now, data);
                 let mut wants = Wants::default();
                 // Errors tell of datagrams for an earlier coming of this node, and of words that can't be read.
                 let _ = self.foca.handle_data(kept.as_deref().unwrap_or(data), &mut wants);
@@ -577,7 +581,7 @@
         }
         let peer = self.peers.entry(id.name.clone()).or_default();
         if id.incarnation > peer.incarnation {
-            *peer = Peer { incarnation: id.incarnation, ..Peer::default() };
+            *peer = Peer { incarnation: id.incarnation, since: now, ..Peer::default() };
         }
         // An earlier coming has no window any more: it is only told that it is one, and that is harmless twice.
         if id.incarnation == peer.incarnation {
@@ -594,36 +598,6 @@
         let _ = self.foca.apply_many(members.into_iter(), spread, &mut wants);
         self.carry_out(now, wants);
     }
-
-    /// Where the table is full: the datagram without what it says of unknown names. `None` if it is to be taken whole.
-    fn room_for(&mut self, data: &[u8]) -> Option<Vec<u8>> {
-        if self.foca.iter_membership_state().len() < MOST {
-            return None;
-        }
-        if !std::mem::replace(&mut self.full, true) {
-            self.events.push_back(Event::Full);
-        }
-        let (header, rest): (foca::Header<Id>, _) = postcard::take_from_bytes(data).ok()?;
-        if self.known(&header.src.name).is_none() {
-            return Some(Vec::new());
-        }
-        let mut kept = data.get(..data.len() - rest.len())?.to_vec();
-        let Some((count, mut rest)) = rest.split_first_chunk::<2>() else { return Some(kept) };
-        let mut updates = Vec::new();
-        let mut passed = 0u16;
-        for _ in 0..u16::from_be_bytes(*count) {
-            let (member, after): (foca::Member<Id>, _) = postcard::take_from_bytes(rest).ok()?;
-            if self.known(&member.id().name).is_some() {
-                updates.extend_from_slice(rest.get(..rest.len() - after.len())?);
-                passed += 1;
-            }
-            rest = after;
-        }
-        kept.extend_from_slice(&passed.to_be_bytes());
-        kept.extend_from_slice(&updates);
-        kept.extend_from_slice(rest);
-        Some(kept)
-    }
 }
 
 /// Why a datagram or frame was refused: for counters and the log.
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -9,7 +9,7 @@
 }
 
 fn id(name: &str, port: u16) -> Id {
-    Id { name: name.into(), incarnation: 5, address: ([127, 0, 0, 1], port).into() }
+    Id::new(name, 5, ([127, 0, 0, 1], port).into())
 }
 
 fn node(name: &str, port: u16) -> Fleet {
@@ -126,3 +126,40 @@
     let seen = fleet.view(2_100).members.into_iter().find(|seen| &*seen.id.name == "made-up-1").unwrap();
     assert_eq!(seen.said.unwrap().ready, Ready::Serving);
 }
+
+/// Has one tell the other that a third is dead.
+fn tells_dead(teller: &mut Fleet, to: &mut Fleet, of: &Id, now: Millis) -> foca::State {
+    teller.apply(now, vec![foca::Member::down(of.clone())], true);
+    teller.apply(now, vec![foca::Member::alive(to.id.clone())], true);
+    let mut wants = Wants::default();
+    let _ = teller.foca.gossip(&mut wants);
+    teller.carry_out(now, wants);
+    while let Some(order) = teller.order() {
+        if let Order::Send(_, bytes) = order {
+            let _ = to.datagram(now, &bytes);
+        }
+    }
+    to.known(of).unwrap().2
+}
+
+#[test]
+fn a_death_is_believed_of_one_known_for_long_about_one_not_heard_since() {
+    let of = id("of", 9);
+    let after = |known_for: Millis, heard: Option<Millis>| {
+        let (mut a, mut b, mut c) = (node("a", 1), node("b", 2), node("of", 9));
+        for fleet in [&mut a, &mut b] {
+            fleet.apply(1_000, vec![foca::Member::alive(of.clone())], true);
+        }
+        let now = 1_000 + known_for;
+        // They greet each other at first; what is not sent is not known.
+        tells_dead(&mut b, &mut a, &id("nobody", 8), 1_000);
+        if let Some(ago) = heard {
+            tells_dead(&mut c, &mut a, &id("nobody", 8), now - ago);
+        }
+        tells_dead(&mut b, &mut a, &of, now)
+    };
+    assert_eq!(after(5_000, None), foca::State::Down);
+    assert_eq!(after(500, None), foca::State::Suspect);
+    assert_eq!(after(5_000, Some(300)), foca::State::Suspect);
+    assert_eq!(after(5_000, Some(2_000)), foca::State::Down);
+}
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -165,7 +165,7 @@
     getrandom::fill(&mut seed).map_err(|error| io::Error::other(error.to_string()))?;
     let now = node.clock.now() as u64;
     let incarnation = node.clock.incarnation();
-    let id = Id { name: name.into(), incarnation, address: config.advertise.unwrap_or(address) };
+    let id = Id::new(name, incarnation, config.advertise.unwrap_or(address));
     info!(node.log, "in a fleet"; "address" => %address, "advertise" => %id.address, "as" => incarnation);
     let setup = Setup { id, seeds: config.seeds.clone(), keys, seed };
     let link = Rc::new(Link {
