--- /dev/null
+++ b/crates/agree/src/asking.rs
@@ -0,0 +1,122 @@
+//! A node's side of a permit: it asks until it is answered, drains on a grant of what it still asks, and gives back until
+//! that is known.
+
+use crate::entry::{Entry, Request};
+use crate::state::Answer;
+
+/// Between two tries, each at another voter: several times what an agreed entry takes.
+const AGAIN_MS: u64 = 150;
+
+#[derive(Debug)]
+struct Standing {
+    request: Request,
+    last: Option<Answer>,
+    fence: Option<u64>,
+}
+
+/// What a node asks and holds.
+#[derive(Debug, Default)]
+pub struct Asking {
+    asks: Option<Standing>,
+    /// What it gives back, until it is known that the log has it.
+    backs: Vec<Request>,
+    due: u64,
+}
+
+impl Asking {
+    /// Asks under this new number, unless it asks or holds already.
+    pub fn ask(&mut self, request: Request) {
+        if self.asks.is_none() {
+            self.asks = Some(Standing { request, last: None, fence: None });
+            self.due = 0;
+        }
+    }
+
+    /// Asks no more, or gives back what it holds: the node serves.
+    pub fn give_back(&mut self) {
+        if let Some(standing) = self.asks.take() {
+            self.backs.push(standing.request);
+            self.due = 0;
+        }
+    }
+
+    /// What it has been told; none: it asks for nothing. A last answer that has not come is said.
+    pub fn told(&self) -> Option<String> {
+        let standing = self.asks.as_ref()?;
+        Some(match (&standing.fence, &standing.last) {
+            (Some(fence), _) => format!("permit {fence}"),
+            (None, Some(Answer::Waiting(why))) => format!("waiting: {why}"),
+            (None, Some(Answer::Refused(why))) => format!("refused: {why}"),
+            (None, _) => "waiting: no voter has answered".to_owned(),
+        })
+    }
+
+    /// The number of the permit that it holds.
+    pub fn fence(&self) -> Option<u64> {
+        self.asks.as_ref()?.fence
+    }
+
+    /// A voter has answered. True if the node is to drain now: only on a grant of what it asks at this moment.
+    pub fn answered(&mut self, request: Request, answer: Answer) -> bool {
+        if answer == Answer::Over {
+            self.backs.retain(|back| *back != request);
+        }
+        let Some(standing) = self.asks.as_mut().filter(|standing| standing.request == request) else {
+            return false;
+        };
+        let begins = match answer {
+            Answer::Granted(fence) if standing.fence.is_none() => {
+                standing.fence = Some(fence);
+                true
+            }
+            // Another's word, or an operator's: it is not to drain. One that drains already finishes.
+            Answer::Over if standing.fence.is_none() => {
+                self.asks = None;
+                return false;
+            }
+            _ => false,
+        };
+        standing.last = Some(answer);
+        begins
+    }
+
+    /// What is to be proposed now, to another voter each time.
+    pub fn due(&mut self, now: u64, node: &str, incarnation: u64) -> Vec<Entry> {
+        if now < self.due {
+            return Vec::new();
+        }
+        self.due = now + AGAIN_MS;
+        let asks = self.asks.as_ref().filter(|standing| standing.fence.is_none());
+        let ask = asks.map(|standing| Entry::Ask {
+            request: standing.request,
+            node: node.to_owned(),
+            incarnation,
+        });
+        ask.into_iter().chain(self.backs.iter().map(|request| Entry::Back(*request))).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_drains_only_on_a_grant_of_what_it_still_asks() {
+        let mut asking = Asking::default();
+        asking.ask(1);
+        assert_eq!(asking.due(1_000, "n", 5), [Entry::Ask { request: 1, node: "n".into(), incarnation: 5 }]);
+        assert!(asking.due(1_010, "n", 5).is_empty());
+        assert!(!asking.answered(1, Answer::Waiting("full".into())));
+        assert_eq!(asking.told().unwrap(), "waiting: full");
+        // Withdrawn; the grant comes late, and doubled.
+        asking.give_back();
+        assert!(!asking.answered(1, Answer::Granted(7)));
+        assert_eq!(asking.due(2_000, "n", 5), [Entry::Back(1)]);
+        asking.ask(2);
+        assert!(!asking.answered(1, Answer::Granted(7)));
+        assert!(!asking.answered(1, Answer::Over));
+        assert!(asking.answered(2, Answer::Granted(9)));
+        assert!(!asking.answered(2, Answer::Granted(9)));
+        assert_eq!((asking.fence(), asking.due(3_000, "n", 5)), (Some(9), vec![]));
+    }
+}
--- /dev/null
+++ b/crates/agree/src/state.rs
@@ -0,0 +1,353 @@
+//! Budgets and permits, computed from the log alone: each voter that applies the same entries holds the same.
+
+use crate::entry::{Entry, Most, Request, Scope, SeenNode, Standing};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What the fleet's budget is before anybody sets one: the least that lets a release go on.
+const FIRST: Most = Most::Number(1);
+/// Requests that are over, remembered so that a late copy is not taken up again: far more than are ever under way.
+const OVER: usize = 4_096;
+/// Asks that stand at once; more are refused. Guards against a node that asks without end.
+const ASKS: usize = 4_096;
+/// Names in a reason: it goes in one datagram.
+const NAMED: usize = 8;
+
+/// What is known of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Nothing.
+    Unknown,
+    /// It waits, because of this.
+    Waiting(String),
+    /// Granted, under this number; a later grant has a larger one.
+    Granted(u64),
+    /// Given back, withdrawn, or of an earlier coming of its node.
+    Over,
+    /// There is no room for it.
+    Refused(String),
+}
+
+/// What an entry has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A permit was granted, under this number.
+    Granted {
+        /// To this node.
+        node: String,
+        /// The index of the entry that made it fit.
+        fence: u64,
+    },
+    /// A permit or an ask is over.
+    Ended {
+        /// Of this node.
+        node: String,
+        /// It had been granted.
+        granted: bool,
+    },
+}
+
+/// An ask, granted or not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Permit {
+    /// The request.
+    pub request: Request,
+    /// Whose it is.
+    pub node: String,
+    /// Which coming asked.
+    pub incarnation: u64,
+    /// The number it is granted under.
+    pub fence: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Node {
+    zone: String,
+    incarnation: u64,
+    standing: Standing,
+}
+
+/// All that the log says so far.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    index: u64,
+    budgets: BTreeMap<Scope, Most>,
+    nodes: BTreeMap<String, Node>,
+    /// In the order they were asked.
+    asks: Vec<Permit>,
+    over: VecDeque<Request>,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            index: 0,
+            budgets: BTreeMap::from([(Scope::Fleet, FIRST)]),
+            nodes: BTreeMap::new(),
+            asks: Vec::new(),
+            over: VecDeque::new(),
+        }
+    }
+}
+
+impl State {
+    /// Takes the entry of this index.
+    pub fn apply(&mut self, index: u64, entry: Entry) -> Vec<Change> {
+        self.index = index;
+        let mut changes = Vec::new();
+        match entry {
+            Entry::Budget(scope, most) => {
+                self.budgets.insert(scope, most);
+            }
+            Entry::Seen(nodes) => nodes.into_iter().for_each(|node| self.see(node, &mut changes)),
+            Entry::Ask { request, node, incarnation } => self.ask(request, node, incarnation),
+            Entry::Back(request) => self.end(|ask| ask.request == request, Some(request), &mut changes),
+        }
+        self.grant(&mut changes);
+        changes
+    }
+
+    fn see(&mut self, seen: SeenNode, changes: &mut Vec<Change>) {
+        let SeenNode { name, zone, incarnation, standing } = seen;
+        if self.nodes.get(&name).is_some_and(|known| known.incarnation > incarnation) {
+            return;
+        }
+        if standing == Standing::Serving {
+            // Its earlier comings are no more, and with them what they asked. Only this frees the permit of a dead node.
+            self.end(|ask| ask.node == name && ask.incarnation < incarnation, None, changes);
+        }
+        self.nodes.insert(name, Node { zone, incarnation, standing });
+    }
+
+    fn ask(&mut self, request: Request, node: String, incarnation: u64) {
+        let known = self.asks.iter().any(|ask| ask.request == request) || self.over.contains(&request);
+        if !known && self.asks.len() < ASKS {
+            self.asks.push(Permit { request, node, incarnation, fence: None });
+        }
+    }
+
+    fn end(&mut self, of: impl Fn(&Permit) -> bool, request: Option<Request>, changes: &mut Vec<Change>) {
+        let (ended, stay): (Vec<_>, Vec<_>) = self.asks.drain(..).partition(of);
+        self.asks = stay;
+        let mut over: Vec<Request> = ended.iter().map(|ask| ask.request).collect();
+        // One that is given back before it is known: its ask may still come.
+        over.extend(request.filter(|request| !over.contains(request) && !self.over.contains(request)));
+        self.over.extend(over);
+        while self.over.len() > OVER {
+            self.over.pop_front();
+        }
+        changes
+            .extend(ended.into_iter().map(|ask| Change::Ended { node: ask.node, granted: ask.fence.is_some() }));
+    }
+
+    /// Grants what fits, in the order it was asked.
+    fn grant(&mut self, changes: &mut Vec<Change>) {
+        for at in 0..self.asks.len() {
+            let fits = self.asks.get(at).is_some_and(|ask| ask.fence.is_none() && self.against(ask).is_none());
+            if let Some(ask) = self.asks.get_mut(at).filter(|_| fits) {
+                ask.fence = Some(self.index);
+                changes.push(Change::Granted { node: ask.node.clone(), fence: self.index });
+            }
+        }
+    }
+
+    /// Why a node is out; none: it is not.
+    fn out(&self, name: &str) -> Option<String> {
+        let permit = self.asks.iter().find_map(|ask| ask.fence.filter(|_| ask.node == name));
+        let standing = self.nodes.get(name).map_or(Standing::Unknown, |node| node.standing);
+        match (standing, permit) {
+            (Standing::Serving, None) => None,
+            (Standing::Serving, Some(fence)) => Some(format!("permit {fence}")),
+            (standing, _) => Some(standing.text().to_owned()),
+        }
+    }
+
+    fn in_scope<'a>(&'a self, scope: &'a Scope) -> impl Iterator<Item = &'a str> {
+        self.nodes.iter().filter_map(move |(name, node)| match scope {
+            Scope::Fleet => Some(name.as_str()),
+            Scope::Zone(zone) => (node.zone == *zone).then_some(name),
+        })
+    }
+
+    /// What stands against granting this; none: nothing does.
+    fn against(&self, ask: &Permit) -> Option<String> {
+        if !self.nodes.contains_key(&ask.node) {
+            return Some(format!("{} is not yet seen by the voters", ask.node));
+        }
+        self.budgets.iter().find_map(|(scope, most)| {
+            let all: Vec<&str> = self.in_scope(scope).collect();
+            if !all.contains(&ask.node.as_str()) {
+                return None;
+            }
+            let most = most.of(all.len());
+            let out: Vec<(&str, String)> =
+                all.iter().filter_map(|name| Some((*name, self.out(name)?))).collect();
+            let with = out.len() + usize::from(out.iter().all(|(name, _)| *name != ask.node));
+            if with <= most {
+                return None;
+            }
+            let mut words = format!("{scope}: {} of {most} out", out.len());
+            for (n, (name, why)) in out.iter().take(NAMED).enumerate() {
+                words += &format!("{} {name} {why}", if n == 0 { ":" } else { "," });
+            }
+            if out.len() > NAMED {
+                words += &format!(" and {} more", out.len() - NAMED);
+            }
+            Some(words)
+        })
+    }
+
+    /// What is known of a request.
+    pub fn answer(&self, request: Request) -> Answer {
+        if self.over.contains(&request) {
+            return Answer::Over;
+        }
+        match self.asks.iter().find(|ask| ask.request == request) {
+            Some(Permit { fence: Some(fence), .. }) => Answer::Granted(*fence),
+            Some(ask) => Answer::Waiting(self.against(ask).unwrap_or_default()),
+            None if self.asks.len() >= ASKS => Answer::Refused(format!("{ASKS} requests stand already")),
+            None => Answer::Unknown,
+        }
+    }
+
+    /// What is granted and what waits, in the order it was asked.
+    pub fn permits(&self) -> &[Permit] {
+        &self.asks
+    }
+
+    /// Why it waits.
+    pub fn reason(&self, permit: &Permit) -> Option<String> {
+        permit.fence.is_none().then(|| self.against(permit)).flatten()
+    }
+
+    /// The budgets.
+    pub fn budgets(&self) -> impl Iterator<Item = (&Scope, Most)> {
+        self.budgets.iter().map(|(scope, most)| (scope, *most))
+    }
+
+    /// The index of the last entry.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// What of a view is news: nodes that stand otherwise than the log says, and those that it knows and the view does not.
+    pub fn news(&self, view: &[SeenNode]) -> Vec<SeenNode> {
+        let changed = view.iter().filter(|seen| {
+            self.nodes.get(&seen.name).is_none_or(|known| {
+                (&known.zone, known.standing) != (&seen.zone, seen.standing)
+                    || known.incarnation < seen.incarnation
+            }) && self.nodes.get(&seen.name).is_none_or(|known| known.incarnation <= seen.incarnation)
+        });
+        let gone = self.nodes.iter().filter(|(name, node)| {
+            node.standing != Standing::Unknown && view.iter().all(|seen| seen.name != **name)
+        });
+        changed
+            .cloned()
+            .chain(gone.map(|(name, node)| SeenNode {
+                name: name.clone(),
+                zone: node.zone.clone(),
+                incarnation: node.incarnation,
+                standing: Standing::Unknown,
+            }))
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seen(name: &str, zone: &str, incarnation: u64, standing: Standing) -> SeenNode {
+        SeenNode { name: name.into(), zone: zone.into(), incarnation, standing }
+    }
+
+    fn fleet(nodes: usize) -> State {
+        let mut state = State::default();
+        let all =
+            (0..nodes).map(|n| seen(&format!("n{n}"), ["a", "b", "c"][n % 3], 1, Standing::Serving)).collect();
+        state.apply(1, Entry::Seen(all));
+        state
+    }
+
+    fn ask(node: &str, request: Request) -> Entry {
+        Entry::Ask { request, node: node.into(), incarnation: 1 }
+    }
+
+    #[test]
+    fn one_at_a_time_in_the_order_asked_and_told_why() {
+        let mut state = fleet(3);
+        assert_eq!(state.apply(2, ask("n0", 10)), [Change::Granted { node: "n0".into(), fence: 2 }]);
+        assert_eq!(state.apply(3, ask("n1", 11)), []);
+        state.apply(4, ask("n2", 12));
+        assert_eq!(state.answer(10), Answer::Granted(2));
+        assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 permit 2".into()));
+        // The same request twice is one.
+        assert_eq!(state.apply(5, ask("n0", 10)), []);
+        let ended = Change::Ended { node: "n0".into(), granted: true };
+        assert_eq!(
+            state.apply(6, Entry::Back(10)),
+            [ended, Change::Granted { node: "n1".into(), fence: 6 }]
+        );
+        // A late copy of what is over is not taken up again; nor one whose giving back came first.
+        state.apply(7, ask("n0", 10));
+        state.apply(8, Entry::Back(13));
+        state.apply(9, ask("n0", 13));
+        assert_eq!((state.answer(10), state.answer(13)), (Answer::Over, Answer::Over));
+        assert_eq!(state.permits().len(), 2);
+    }
+
+    #[test]
+    fn a_dead_nodes_permit_stands_until_it_serves_as_a_later_coming() {
+        let mut state = fleet(3);
+        state.apply(2, ask("n0", 10));
+        state.apply(3, ask("n1", 11));
+        state.apply(4, Entry::Seen(vec![seen("n0", "a", 1, Standing::Dead)]));
+        assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 dead".into()));
+        // Alive again, and the same coming: it may drain still.
+        state.apply(5, Entry::Seen(vec![seen("n0", "a", 1, Standing::Serving)]));
+        assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 permit 2".into()));
+        state.apply(6, Entry::Seen(vec![seen("n0", "a", 2, Standing::NotReady)]));
+        assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 not ready".into()));
+        state.apply(7, Entry::Seen(vec![seen("n0", "a", 2, Standing::Serving)]));
+        assert_eq!(state.answer(10), Answer::Over);
+        assert_eq!(state.answer(11), Answer::Granted(7));
+        // What was seen earlier and comes late changes nothing.
+        state.apply(8, Entry::Seen(vec![seen("n0", "a", 1, Standing::Dead)]));
+        assert_eq!(state.out("n0"), None);
+    }
+
+    #[test]
+    fn what_is_out_by_itself_counts_and_a_smaller_budget_takes_nobody_back() {
+        let mut state = fleet(9);
+        state.apply(2, Entry::Budget(Scope::Fleet, Most::Percent(34)));
+        state.apply(3, Entry::Budget(Scope::Zone("a".into()), Most::Number(1)));
+        state.apply(4, Entry::Seen(vec![seen("n3", "a", 1, Standing::Dead)]));
+        state.apply(5, ask("n0", 10));
+        assert_eq!(state.answer(10), Answer::Waiting("zone a: 1 of 1 out: n3 dead".into()));
+        // Another zone's goes ahead of it.
+        state.apply(6, ask("n1", 11));
+        state.apply(7, ask("n4", 12));
+        assert_eq!((state.answer(11), state.answer(12)), (Answer::Granted(6), Answer::Granted(7)));
+        state.apply(8, Entry::Budget(Scope::Fleet, Most::Percent(5)));
+        assert_eq!(state.answer(11), Answer::Granted(6));
+        state.apply(9, Entry::Back(11));
+        let Answer::Waiting(why) = state.answer(10) else { panic!("granted") };
+        assert_eq!(why, "fleet: 2 of 0 out: n3 dead, n4 permit 7");
+        // Nobody is granted whom no voter has seen.
+        state.apply(10, Entry::Ask { request: 13, node: "new".into(), incarnation: 1 });
+        assert_eq!(state.answer(13), Answer::Waiting("new is not yet seen by the voters".into()));
+    }
+
+    #[test]
+    fn news_is_what_the_log_does_not_say() {
+        let state = fleet(2);
+        assert_eq!(state.news(&[seen("n0", "a", 1, Standing::Serving)]), [seen(
+            "n1",
+            "b",
+            1,
+            Standing::Unknown
+        )]);
+        let both = [seen("n0", "a", 0, Standing::Dead), seen("n1", "b", 2, Standing::Serving)];
+        assert_eq!(state.news(&both), [seen("n1", "b", 2, Standing::Serving)]);
+    }
+}
--- /dev/null
+++ b/crates/agree/src/voter.rs
@@ -0,0 +1,385 @@
+//! One voter of the log. It is fed messages and ticks, and yields work: what is to be on disk before anything else is
+//! sent, and messages.
+
+use crate::entry::{Entry, SeenNode};
+use crate::state::{Change, State};
+use protobuf::Message as _;
+use raft::eraftpb::{Entry as LogEntry, EntryType, HardState, Message};
+use raft::storage::MemStorage;
+use raft::{Config, RawNode, StateRole};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// How often [`Voter::tick`] is to be called.
+pub const TICK_MS: u64 = 50;
+/// A leader is heard this often: 100 ms.
+const HEARTBEAT: usize = 2;
+/// One that is not heard for 1 to 2 s is replaced: longer than a process is stopped for by a busy machine.
+const ELECTION: usize = 20;
+/// Bytes of entries in one message: with its head it fits one datagram of the fleet.
+const BYTES: u64 = 700;
+/// Bytes of one proposal, at most, for the same reason.
+pub const PROPOSAL: usize = 600;
+/// Nodes in one entry: with the longest names and zones they are within [`PROPOSAL`].
+const SEEN: usize = 3;
+/// What the leader has proposed of its view is not proposed again for so many ticks: time for it to be in the log.
+const QUIET: u64 = 10;
+
+/// What a voter has on disk, as it reads it at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    /// Term, vote and what is agreed; none: there was none yet.
+    pub vote: Option<Vec<u8>>,
+    /// The log, in order.
+    pub log: Vec<Vec<u8>>,
+}
+
+/// What is to be done, in this order.
+#[derive(Debug, Default)]
+pub struct Work {
+    /// Messages that need not wait.
+    pub first: Vec<(String, Vec<u8>)>,
+    /// To be on disk, together, before [`Voter::done`]: the log from this index on, in place of what was there.
+    pub log: Vec<(u64, Vec<u8>)>,
+    /// And term and vote.
+    pub vote: Option<Vec<u8>>,
+}
+
+/// Why a voter can't go on: it stops, and says so.
+#[derive(Debug)]
+pub struct Stopped(String);
+
+impl fmt::Display for Stopped {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Stopped {}
+
+impl From<raft::Error> for Stopped {
+    fn from(error: raft::Error) -> Stopped {
+        Stopped(error.to_string())
+    }
+}
+
+impl From<protobuf::ProtobufError> for Stopped {
+    fn from(error: protobuf::ProtobufError) -> Stopped {
+        Stopped(format!("not a log: {error}"))
+    }
+}
+
+/// One voter.
+pub struct Voter {
+    raft: RawNode<MemStorage>,
+    names: BTreeMap<u64, String>,
+    state: State,
+    under_way: Option<raft::Ready>,
+    ticks: u64,
+    /// When the leader last proposed what it sees.
+    saw: Option<u64>,
+    changes: Vec<Change>,
+}
+
+fn number(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()).max(1)
+}
+
+impl Voter {
+    /// A voter that has this on disk.
+    ///
+    /// # Errors
+    /// What is on disk can't be read, or the voters are none.
+    pub fn new(me: &str, voters: &[String], kept: Kept, log: &slog::Logger) -> Result<Voter, Stopped> {
+        let names: BTreeMap<u64, String> = voters.iter().map(|name| (number(name), name.clone())).collect();
+        let ids: Vec<u64> = names.keys().copied().collect();
+        let store = MemStorage::new_with_conf_state((ids, Vec::new()));
+        {
+            let mut core = store.wl();
+            let entries = kept.log.iter().map(|bytes| LogEntry::parse_from_bytes(bytes));
+            let entries = entries.collect::<Result<Vec<_>, _>>()?;
+            if entries.iter().zip(1..).any(|(entry, index)| entry.index != index) {
+                return Err(Stopped("the log has a gap".into()));
+            }
+            core.append(&entries)?;
+            if let Some(vote) = kept.vote {
+                let vote = HardState::parse_from_bytes(&vote)?;
+                if vote.commit > entries.len() as u64 {
+                    return Err(Stopped("the log ends before what was agreed".into()));
+                }
+                core.set_hardstate(vote);
+            }
+        }
+        let config = Config {
+            id: number(me),
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            max_size_per_msg: BYTES,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        Ok(Voter {
+            raft: RawNode::new(&config, store, log)?,
+            names,
+            state: State::default(),
+            under_way: None,
+            ticks: 0,
+            saw: None,
+            changes: Vec::new(),
+        })
+    }
+
+    /// Time has come on by [`TICK_MS`].
+    pub fn tick(&mut self) {
+        self.ticks += 1;
+        self.raft.tick();
+    }
+
+    /// Takes a message of another voter. One under another's name is passed over.
+    pub fn message(&mut self, from: &str, bytes: &[u8]) {
+        if let Ok(message) = Message::parse_from_bytes(bytes)
+            && message.from == number(from)
+            && self.names.contains_key(&message.from)
+        {
+            // Errors tell of messages that come at a wrong time: raft passes them over.
+            let _ = self.raft.step(message);
+        }
+    }
+
+    /// Asks for an entry to be in the log. Whether it comes is seen only there.
+    pub fn propose(&mut self, entry: &Entry) {
+        if let Some(bytes) = postcard::to_stdvec(entry).ok().filter(|bytes| bytes.len() <= PROPOSAL) {
+            // Without a leader it is lost: whoever wants it asks again.
+            let _ = self.raft.propose(Vec::new(), bytes);
+        }
+    }
+
+    /// Tells the leader how its view has the nodes; what is news comes into the log.
+    pub fn sees(&mut self, view: &[SeenNode]) {
+        if !self.leads() || self.saw.is_some_and(|at| self.ticks < at + QUIET) {
+            return;
+        }
+        let news = self.state.news(view);
+        if !news.is_empty() {
+            self.saw = Some(self.ticks);
+            news.chunks(SEEN).for_each(|some| self.propose(&Entry::Seen(some.to_vec())));
+        }
+    }
+
+    /// Whether this voter leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        self.raft.raft.state == StateRole::Leader
+    }
+
+    /// Who leads, as far as this voter knows.
+    pub fn leader(&self) -> Option<&str> {
+        self.names.get(&self.raft.raft.leader_id).map(String::as_str)
+    }
+
+    /// The term.
+    pub fn term(&self) -> u64 {
+        self.raft.raft.term
+    }
+
+    /// What the log says, as far as this voter knows it.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// What the log has changed since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn addressed(&self, messages: Vec<Message>) -> Vec<(String, Vec<u8>)> {
+        let addressed = |message: Message| {
+            Some((self.names.get(&message.to)?.clone(), message.write_to_bytes().ok()?))
+        };
+        messages.into_iter().filter_map(addressed).collect()
+    }
+
+    fn apply(&mut self, entries: Vec<LogEntry>) -> Result<(), Stopped> {
+        for entry in entries {
+            if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
+                continue;
+            }
+            // A newer voter's: passed over, this one would hold other permits than the rest.
+            let read = postcard::from_bytes(&entry.data)
+                .map_err(|_| Stopped(format!("entry {} is of a newer kind", entry.index)))?;
+            self.changes.extend(self.state.apply(entry.index, read));
+        }
+        Ok(())
+    }
+
+    /// What is to be done next; none while [`Voter::done`] is still to be called.
+    ///
+    /// # Errors
+    /// The voter stops.
+    pub fn work(&mut self) -> Result<Option<Work>, Stopped> {
+        if self.under_way.is_some() || !self.raft.has_ready() {
+            return Ok(None);
+        }
+        let mut ready = self.raft.ready();
+        let first = ready.take_messages();
+        let committed = ready.take_committed_entries();
+        self.apply(committed)?;
+        let mut work = Work { first: self.addressed(first), ..Work::default() };
+        for entry in ready.entries() {
+            work.log.push((entry.index, entry.write_to_bytes()?));
+        }
+        let mut store = self.raft.mut_store().wl();
+        store.append(ready.entries())?;
+        if let Some(vote) = ready.hs() {
+            work.vote = Some(vote.write_to_bytes()?);
+            store.set_hardstate(vote.clone());
+        }
+        drop(store);
+        self.under_way = Some(ready);
+        Ok(Some(work))
+    }
+
+    /// What was to be on disk is there: what may be said now.
+    ///
+    /// # Errors
+    /// The voter stops.
+    pub fn done(&mut self) -> Result<Vec<(String, Vec<u8>)>, Stopped> {
+        let Some(mut ready) = self.under_way.take() else { return Ok(Vec::new()) };
+        let mut messages = ready.take_persisted_messages();
+        let mut light = self.raft.advance(ready);
+        if let Some(commit) = light.commit_index() {
+            self.raft.mut_store().wl().mut_hard_state().set_commit(commit);
+        }
+        messages.extend(light.take_messages());
+        self.apply(light.take_committed_entries())?;
+        self.raft.advance_apply();
+        Ok(self.addressed(messages))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::Answer;
+    use crate::{Most, Scope, Standing};
+
+    /// Voters with disks that may be lost, and links that may be cut.
+    struct Three {
+        voters: BTreeMap<String, Voter>,
+        disks: BTreeMap<String, (BTreeMap<u64, Vec<u8>>, Option<Vec<u8>>)>,
+        cut: Vec<String>,
+        names: Vec<String>,
+    }
+
+    fn quiet() -> slog::Logger {
+        slog::Logger::root(slog::Discard, slog::o!())
+    }
+
+    impl Three {
+        fn new() -> Three {
+            let names: Vec<String> = ["a", "b", "c"].map(str::to_owned).into();
+            let mut three =
+                Three { voters: BTreeMap::new(), disks: BTreeMap::new(), cut: Vec::new(), names: names.clone() };
+            names.iter().for_each(|name| three.start(name));
+            three
+        }
+
+        fn start(&mut self, name: &str) {
+            let (log, vote) = self.disks.entry(name.to_owned()).or_default().clone();
+            let kept = Kept { vote, log: log.into_values().collect() };
+            self.voters.insert(name.to_owned(), Voter::new(name, &self.names, kept, &quiet()).unwrap());
+        }
+
+        fn run(&mut self, ticks: usize) {
+            for _ in 0..ticks {
+                self.voters.values_mut().for_each(Voter::tick);
+                loop {
+                    let mut sent = Vec::new();
+                    for (name, voter) in &mut self.voters {
+                        while let Some(work) = voter.work().unwrap() {
+                            let (log, vote) = self.disks.entry(name.clone()).or_default();
+                            if let Some((first, _)) = work.log.first() {
+                                log.split_off(first);
+                            }
+                            log.extend(work.log);
+                            *vote = work.vote.or(vote.take());
+                            let more = work.first.into_iter().chain(voter.done().unwrap());
+                            sent.extend(more.map(|(to, bytes)| (name.clone(), to, bytes)));
+                        }
+                    }
+                    if sent.is_empty() {
+                        break;
+                    }
+                    for (from, to, bytes) in sent {
+                        if self.cut.contains(&from) == self.cut.contains(&to)
+                            && let Some(voter) = self.voters.get_mut(&to)
+                        {
+                            voter.message(&from, &bytes);
+                        }
+                    }
+                }
+            }
+        }
+
+        fn leader(&self) -> Option<String> {
+            let newest = self.voters.iter().filter(|(_, voter)| voter.leads());
+            newest.max_by_key(|(_, voter)| voter.term()).map(|(name, _)| name.clone())
+        }
+    }
+
+    fn serving(name: &str) -> SeenNode {
+        SeenNode { name: name.into(), zone: "z".into(), incarnation: 1, standing: Standing::Serving }
+    }
+
+    fn ask(node: &str, request: u128) -> Entry {
+        Entry::Ask { request, node: node.into(), incarnation: 1 }
+    }
+
+    #[test]
+    fn a_grant_outlives_its_leader_and_a_leader_cut_off_grants_nothing() {
+        let mut three = Three::new();
+        three.run(100);
+        let leader = three.leader().expect("a leader");
+        let view = [serving("n1"), serving("n2"), serving("n3"), serving("n4")];
+        three.voters.get_mut(&leader).unwrap().sees(&view);
+        three.run(3);
+        let follower = three.names.iter().find(|name| **name != leader).unwrap().clone();
+        three.voters.get_mut(&follower).unwrap().propose(&ask("n1", 1));
+        three.run(3);
+        assert!(three.voters.values().all(|voter| matches!(voter.state().answer(1), Answer::Granted(_))));
+        // The leader is cut off; what it is asked does not come into the log, whatever it believes.
+        three.cut = vec![leader.clone()];
+        let alone = three.voters.get_mut(&leader).unwrap();
+        alone.propose(&Entry::Budget(Scope::Fleet, Most::Number(9)));
+        alone.propose(&ask("n2", 2));
+        three.run(100);
+        assert_eq!(three.voters[&leader].state().answer(2), Answer::Unknown);
+        let next = three.leader().expect("another");
+        assert_ne!(next, leader);
+        three.voters.get_mut(&next).unwrap().propose(&ask("n3", 3));
+        three.run(3);
+        assert!(matches!(three.voters[&next].state().answer(3), Answer::Waiting(_)));
+        // Healed, all say the same; and after a start from disk, too.
+        three.cut.clear();
+        three.run(100);
+        let states: Vec<_> = three.voters.values().map(|voter| voter.state().clone()).collect();
+        assert!(states.iter().all(|state| *state == states[0] && state.answer(2) == Answer::Unknown));
+        for name in three.names.clone() {
+            three.start(&name);
+        }
+        three.run(100);
+        assert!(three.voters.values().all(|voter| *voter.state() == states[0]));
+    }
+
+    #[test]
+    fn a_torn_log_is_refused() {
+        let mut three = Three::new();
+        three.run(100);
+        let (mut log, vote) = three.disks["a"].clone();
+        let last = *log.keys().last().unwrap();
+        log.remove(&last);
+        let kept = Kept { vote, log: log.into_values().collect() };
+        assert!(Voter::new("a", &three.names, kept, &quiet()).is_err());
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -69,9 +69,14 @@
 const DEAD_MS: u64 = 1_000;
 /// Dead nodes are remembered, and tried, for so long.
 const FORGET_MS: Millis = 3_600_000;
+/// Messages beside the view that wait to be taken; more are lost, as on any link. Guards against one that floods.
+const BESIDE: usize = 1_024;
 /// A suspect is told so again as long as it is one.
 const TELL_MS: Millis = 200;
 
+/// Bytes of one message beside the view: what a datagram holds, less the longest identity.
+pub const MOST_BESIDE: usize = wire::GOSSIP - 128;
+
 /// What a node is told of its fleet at the start.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -219,6 +224,7 @@
     digest: RefCell<view::Cached>,
     orders: VecDeque<Order>,
     events: VecDeque<Event>,
+    beside: VecDeque<(Name, Vec<u8>)>,
     figures: Figures,
     /// Counts changes of membership, for caches.
     changes: u64,
@@ -282,6 +288,7 @@
             digest: RefCell::default(),
             orders: VecDeque::new(),
             events: VecDeque::new(),
+            beside: VecDeque::new(),
             figures: Figures::default(),
             changes: 0,
             full: false,
@@ -354,6 +361,24 @@
         self.orders.pop_front()
     }
 
+    /// Sends something of another matter to a node, whatever state it is held in, sealed and guarded against replay as all
+    /// else. It may be lost, doubled or overtaken. False if the node is not known, or the bytes are too many.
+    pub fn send_beside(&mut self, to: &str, bytes: &[u8]) -> bool {
+        let to = self.foca.iter_membership_state().find(|member| *member.id().name == *to);
+        let Some(address) = to.map(|member| member.id().address) else { return false };
+        if bytes.len() > MOST_BESIDE {
+            return false;
+        }
+        let message = Message::Beside { from: self.id.clone(), bytes: bytes.to_vec() };
+        self.send(address, &message);
+        true
+    }
+
+    /// What another node has sent of another matter: who, and what.
+    pub fn beside(&mut self) -> Option<(Name, Vec<u8>)> {
+        self.beside.pop_front()
+    }
+
     /// What has happened.
     pub fn event(&mut self) -> Option<Event> {
         self.events.pop_front()
@@ -564,6 +589,12 @@
                 self.from(now, &from, sequence)?;
                 self.superseded(now, by, alive);
             }
+            Message::Beside { from, bytes } => {
+                self.from(now, &from, sequence)?;
+                if !self.earlier(now, &from) && self.beside.len() < BESIDE {
+                    self.beside.push_back((from.name, bytes));
+                }
+            }
             Message::HeldDead { from, about } => {
                 self.from(now, &from, sequence)?;
                 if about == self.id {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -23,6 +23,8 @@
     Superseded { from: Id, by: Id, alive: bool },
     /// Told to a node whom somebody holds dead.
     HeldDead { from: Id, about: Id },
+    /// Of another matter than the view: bytes that the view does not read.
+    Beside { from: Id, bytes: Vec<u8> },
 }
 
 /// Why a datagram or frame is dropped.
@@ -48,6 +50,7 @@
         }
         Message::Superseded { from, by, alive } => (2, postcard::to_stdvec(&(from, by, alive)).ok()?),
         Message::HeldDead { from, about } => (3, postcard::to_stdvec(&(from, about)).ok()?),
+        Message::Beside { from, bytes } => (4, postcard::to_stdvec(&(from, bytes)).ok()?),
     };
     let mut plain = postcard::to_stdvec(&(sequence, number)).ok()?;
     plain.extend_from_slice(&body);
@@ -70,6 +73,10 @@
             let (from, about) = postcard::from_bytes(body)?;
             Message::HeldDead { from, about }
         }
+        4 => {
+            let (from, bytes) = postcard::from_bytes(body)?;
+            Message::Beside { from, bytes }
+        }
         _ => return Err(Unread::Unknown),
     };
     Ok((sequence, message))
--- /dev/null
+++ b/crates/vote/src/lib.rs
@@ -0,0 +1,139 @@
+//! A voter's log and vote on disk: one file, by `redb`; each write is there whole, and synced, or not at all.
+//!
+//! ```text
+//! FOLDER/vote.redb: table "log": index u64 -> entry; table "one": "vote", "founders" -> bytes
+//! ```
+
+use hopmoor_agree::{Kept, Work};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use std::fmt;
+use std::path::Path;
+
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+const ONE: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("one");
+const VOTE: &str = "vote";
+const FOUNDERS: &str = "founders";
+
+/// What is wrong with the folder.
+#[derive(Debug)]
+pub struct Failed(String);
+
+impl fmt::Display for Failed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Failed {}
+
+fn failed(error: impl Into<redb::Error>) -> Failed {
+    Failed(error.into().to_string())
+}
+
+/// A voter's folder, open. Nobody else can have it open.
+pub struct Folder {
+    file: Database,
+}
+
+impl Folder {
+    /// Opens it, and makes it where there is none.
+    ///
+    /// # Errors
+    /// It can't be made, another process has it open, or it is no such folder.
+    pub fn open(folder: &Path) -> Result<Folder, Failed> {
+        let at = |error: &dyn fmt::Display| Failed(format!("{}: {error}", folder.display()));
+        std::fs::create_dir_all(folder).map_err(|error| at(&error))?;
+        let file = Database::create(folder.join("vote.redb")).map_err(|error| at(&error))?;
+        Ok(Folder { file })
+    }
+
+    /// What is there, and by whom the log was founded; none: it is new, or was lost.
+    ///
+    /// # Errors
+    /// It can't be read.
+    pub fn read(&self) -> Result<Option<(Vec<u8>, Kept)>, Failed> {
+        let read = self.file.begin_read().map_err(failed)?;
+        let one = match read.open_table(ONE) {
+            Ok(one) => one,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(error) => return Err(failed(error)),
+        };
+        let of = |key| -> Result<Option<Vec<u8>>, Failed> {
+            Ok(one.get(key).map_err(failed)?.map(|bytes| bytes.value().to_vec()))
+        };
+        let Some(founders) = of(FOUNDERS)? else { return Ok(None) };
+        let log = read.open_table(LOG).map_err(failed)?;
+        let log = log.iter().map_err(failed)?.map(|entry| Ok(entry.map_err(failed)?.1.value().to_vec()));
+        Ok(Some((founders, Kept { vote: of(VOTE)?, log: log.collect::<Result<_, Failed>>()? })))
+    }
+
+    /// Founds the log.
+    ///
+    /// # Errors
+    /// It can't be written.
+    pub fn found(&self, founders: &[u8]) -> Result<(), Failed> {
+        let write = self.file.begin_write().map_err(failed)?;
+        write.open_table(ONE).map_err(failed)?.insert(FOUNDERS, founders).map_err(failed)?;
+        write.open_table(LOG).map_err(failed)?;
+        write.commit().map_err(failed)
+    }
+
+    /// Writes what a voter wants kept, and returns once it is.
+    ///
+    /// # Errors
+    /// It can't be written, or is not there for sure: the voter must say nothing more.
+    pub fn keep(&self, work: &Work) -> Result<(), Failed> {
+        if work.log.is_empty() && work.vote.is_none() {
+            return Ok(());
+        }
+        let write = self.file.begin_write().map_err(failed)?;
+        {
+            let mut log = write.open_table(LOG).map_err(failed)?;
+            if let Some((from, _)) = work.log.first() {
+                log.retain_in(*from.., |_, _| false).map_err(failed)?;
+            }
+            for (index, entry) in &work.log {
+                log.insert(index, entry.as_slice()).map_err(failed)?;
+            }
+            if let Some(vote) = &work.vote {
+                write.open_table(ONE).map_err(failed)?.insert(VOTE, vote.as_slice()).map_err(failed)?;
+            }
+        }
+        write.commit().map_err(failed)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_kept_is_there_and_a_later_log_takes_the_place_of_an_earlier() {
+        let at = tempfile::tempdir().unwrap();
+        let folder = Folder::open(at.path()).unwrap();
+        assert!(folder.read().unwrap().is_none());
+        folder.found(b"all").unwrap();
+        let log = |from: u64, texts: &[&str]| {
+            (from..).zip(texts).map(|(n, text)| (n, text.as_bytes().to_vec())).collect()
+        };
+        folder.keep(&Work { log: log(1, &["a", "b", "c"]), ..Work::default() }).unwrap();
+        folder.keep(&Work { log: log(2, &["x"]), vote: Some(b"v".to_vec()), ..Work::default() }).unwrap();
+        // Another process can't have it at the same time.
+        assert!(Folder::open(at.path()).is_err());
+        drop(folder);
+        let (founders, kept) = Folder::open(at.path()).unwrap().read().unwrap().unwrap();
+        assert_eq!((founders, kept.vote), (b"all".to_vec(), Some(b"v".to_vec())));
+        assert_eq!(kept.log, [b"a".to_vec(), b"x".to_vec()]);
+    }
+
+    #[test]
+    fn a_torn_file_is_refused() {
+        let at = tempfile::tempdir().unwrap();
+        Folder::open(at.path()).unwrap().found(b"all").unwrap();
+        let file = at.path().join("vote.redb");
+        let whole = std::fs::read(&file).unwrap();
+        std::fs::write(&file, &whole[..whole.len() / 3]).unwrap();
+        let read = Folder::open(at.path()).and_then(|folder| folder.read());
+        assert!(read.is_err(), "{:?}", read.is_ok());
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -79,6 +79,17 @@
     pub zone: String,
     /// The files that make up its configuration: their digest tells versions apart.
     pub files: Vec<PathBuf>,
+    /// Drains are asked of the fleet; none: whoever calls drains.
+    pub agree: Option<Agree>,
+}
+
+/// Who agrees on drains.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Agree {
+    /// The names of the voters: 1, 3, 5 or 7.
+    pub voters: Vec<String>,
+    /// Where this node keeps its log and vote, if it is one of them.
+    pub folder: PathBuf,
 }
 
 /// The settings: those of the decision module and those that only the network code reads.
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -50,6 +50,31 @@
     keys: PathBuf,
     #[serde(default)]
     zone: String,
+    agree: Option<RawAgree>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawAgree {
+    voters: Vec<String>,
+    folder: Option<PathBuf>,
+}
+
+impl RawAgree {
+    fn check(self, name: &str, above: &Path, wrong: &mut Vec<String>) -> config::Agree {
+        let RawAgree { voters, folder } = self;
+        let names: std::collections::BTreeSet<&String> = voters.iter().collect();
+        if ![1, 3, 5, 7].contains(&voters.len()) || names.len() < voters.len() {
+            wrong.push("fleet.agree.voters: 1, 3, 5 or 7 different names are wanted".into());
+        }
+        for (n, _) in voters.iter().enumerate().filter(|(_, voter)| !hopmoor_fleet::identity::is_name(voter)) {
+            wrong.push(format!("fleet.agree.voters[{n}]: not a node's name"));
+        }
+        if folder.is_none() && voters.iter().any(|voter| voter == name) {
+            wrong.push("fleet.agree.folder: wanted, since this node votes".into());
+        }
+        config::Agree { voters, folder: above.join(folder.unwrap_or_default()) }
+    }
 }
 
 /// Seeds, at most: any of them will do.
@@ -90,13 +115,14 @@
                 "name: a node of a fleet needs one of 1 to 64 bytes, without control characters".into(),
             );
         }
+        let agree = self.agree.map(|agree| agree.check(name, above, &mut wrong));
         let keys = above.join(&self.keys);
         if let Err(ConfigError(error)) = fleet_keys(&keys) {
             wrong.push(error);
         }
         match listen {
             Some(listen) if wrong.is_empty() => {
-                Ok(Fleet { listen, advertise, seeds, keys, zone: self.zone, files })
+                Ok(Fleet { listen, advertise, seeds, keys, zone: self.zone, files, agree })
             }
             _ => Err(ConfigError(wrong.join("; "))),
         }
