Ask the fleet before a node drains: three voters, one budget, two ask and one waits

With fleet.agree in the operator's file PUT /-/drain asks for a permit (202 with the reason while it waits) and PUT /-/resume gives it back; GET /-/permits says what is agreed. Off without fleet.agree: PUT /-/drain is as it was.

--- a/crates/agree/src/asking.rs
+++ b/crates/agree/src/asking.rs
@@ -87,11 +87,8 @@
         }
         self.due = now + AGAIN_MS;
         let asks = self.asks.as_ref().filter(|standing| standing.fence.is_none());
-        let ask = asks.map(|standing| Entry::Ask {
-            request: standing.request,
-            node: node.to_owned(),
-            incarnation,
-        });
+        let ask =
+            asks.map(|standing| Entry::Ask { request: standing.request, node: node.to_owned(), incarnation });
         ask.into_iter().chain(self.backs.iter().map(|request| Entry::Back(*request))).collect()
     }
 }
--- a/crates/agree/src/founding.rs
+++ b/crates/agree/src/founding.rs
@@ -40,7 +40,11 @@
 impl Founding {
     /// A start with an empty folder.
     pub fn new(me: &str, voters: &[String], start: Start) -> Founding {
-        Founding { me: me.to_owned(), voters: voters.to_vec(), heard: Founders::from([(me.to_owned(), start)]) }
+        Founding {
+            me: me.to_owned(),
+            voters: voters.to_vec(),
+            heard: Founders::from([(me.to_owned(), start)]),
+        }
     }
 
     /// To be told to the other voters.
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -136,14 +136,16 @@
         while self.over.len() > OVER {
             self.over.pop_front();
         }
-        changes
-            .extend(ended.into_iter().map(|ask| Change::Ended { node: ask.node, granted: ask.fence.is_some() }));
+        changes.extend(
+            ended.into_iter().map(|ask| Change::Ended { node: ask.node, granted: ask.fence.is_some() }),
+        );
     }
 
     /// Grants what fits, in the order it was asked.
     fn grant(&mut self, changes: &mut Vec<Change>) {
         for at in 0..self.asks.len() {
-            let fits = self.asks.get(at).is_some_and(|ask| ask.fence.is_none() && self.against(ask).is_none());
+            let fits =
+                self.asks.get(at).is_some_and(|ask| ask.fence.is_none() && self.against(ask).is_none());
             if let Some(ask) = self.asks.get_mut(at).filter(|_| fits) {
                 ask.fence = Some(self.index);
                 changes.push(Change::Granted { node: ask.node.clone(), fence: self.index });
@@ -263,8 +265,9 @@
 
     fn fleet(nodes: usize) -> State {
         let mut state = State::default();
-        let all =
-            (0..nodes).map(|n| seen(&format!("n{n}"), ["a", "b", "c"][n % 3], 1, Standing::Serving)).collect();
+        let all = (0..nodes)
+            .map(|n| seen(&format!("n{n}"), ["a", "b", "c"][n % 3], 1, Standing::Serving))
+            .collect();
         state.apply(1, Entry::Seen(all));
         state
     }
@@ -284,10 +287,7 @@
         // The same request twice is one.
         assert_eq!(state.apply(5, ask("n0", 10)), []);
         let ended = Change::Ended { node: "n0".into(), granted: true };
-        assert_eq!(
-            state.apply(6, Entry::Back(10)),
-            [ended, Change::Granted { node: "n1".into(), fence: 6 }]
-        );
+        assert_eq!(state.apply(6, Entry::Back(10)), [ended, Change::Granted { node: "n1".into(), fence: 6 }]);
         // A late copy of what is over is not taken up again; nor one whose giving back came first.
         state.apply(7, ask("n0", 10));
         state.apply(8, Entry::Back(13));
@@ -341,12 +341,10 @@
     #[test]
     fn news_is_what_the_log_does_not_say() {
         let state = fleet(2);
-        assert_eq!(state.news(&[seen("n0", "a", 1, Standing::Serving)]), [seen(
-            "n1",
-            "b",
-            1,
-            Standing::Unknown
-        )]);
+        assert_eq!(
+            state.news(&[seen("n0", "a", 1, Standing::Serving)]),
+            [seen("n1", "b", 1, Standing::Unknown)]
+        );
         let both = [seen("n0", "a", 0, Standing::Dead), seen("n1", "b", 2, Standing::Serving)];
         assert_eq!(state.news(&both), [seen("n1", "b", 2, Standing::Serving)]);
     }
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -194,9 +194,8 @@
     }
 
     fn addressed(&self, messages: Vec<Message>) -> Vec<(String, Vec<u8>)> {
-        let addressed = |message: Message| {
-            Some((self.names.get(&message.to)?.clone(), message.write_to_bytes().ok()?))
-        };
+        let addressed =
+            |message: Message| Some((self.names.get(&message.to)?.clone(), message.write_to_bytes().ok()?));
         messages.into_iter().filter_map(addressed).collect()
     }
 
@@ -279,8 +278,12 @@
     impl Three {
         fn new() -> Three {
             let names: Vec<String> = ["a", "b", "c"].map(str::to_owned).into();
-            let mut three =
-                Three { voters: BTreeMap::new(), disks: BTreeMap::new(), cut: Vec::new(), names: names.clone() };
+            let mut three = Three {
+                voters: BTreeMap::new(),
+                disks: BTreeMap::new(),
+                cut: Vec::new(),
+                names: names.clone(),
+            };
             names.iter().for_each(|name| three.start(name));
             three
         }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -220,6 +220,9 @@
                 advertise: place.relay.address(),
                 seeds: seeds.iter().copied().filter(|seed| *seed != place.relay.address()).collect(),
                 keys: self.keys.clone(),
+                voters: (0..self.schedule.voters).map(|node| format!("n-{node:04}")).collect(),
+                // It outlives its processes.
+                votes: self.folder.join(format!("n-{:04}-votes", place.node)),
             };
             starting.spawn_local(async move { (number, Process::start(&start).await) });
         }
@@ -374,22 +377,23 @@
         let mut asking = JoinSet::new();
         for (node, admin) in asked.borrow().clone() {
             asking.spawn_local(async move {
+                let asked = began.elapsed().as_secs_f64();
                 let fleet = call(admin, "GET", "/-/fleet").await;
                 let ready = call(admin, "GET", "/-/ready").await;
-                (node, fleet, ready)
+                (node, asked, fleet, ready)
             });
         }
-        while let Some(Ok((node, fleet, ready))) = asking.join_next().await {
+        while let Some(Ok((node, asked, fleet, ready))) = asking.join_next().await {
             let Ok((200, body)) = fleet else { continue };
             let at = began.elapsed().as_secs_f64();
-            if let Some(seen) = seen(at, node, &body, ready.ok().map(|(status, _)| status == 200)) {
-                history.borrow_mut().seen.push(seen);
+            if let Some(seen) = seen(at, node, &body, ready.ok()) {
+                history.borrow_mut().seen.push(Seen { asked, ..seen });
             }
         }
     }
 }
 
-fn seen(at: f64, node: usize, body: &str, itself_ready: Option<bool>) -> Option<Seen> {
+fn seen(at: f64, node: usize, body: &str, ready: Option<(u16, String)>) -> Option<Seen> {
     let view: Value = serde_json::from_str(body).ok()?;
     let members = view["members"].as_array()?;
     let named = |member: &Value| member["name"].as_str()?.strip_prefix("n-")?.parse::<usize>().ok();
@@ -400,7 +404,10 @@
     let digest = view["digest"].as_str()?.get(..16)?.to_owned();
     let sharing = view["sharing"].as_u64().map(|nodes| nodes as u32);
     let incarnation = view["incarnation"].as_u64()?;
-    Some(Seen { at, node, digest, states, ready: by("ready"), itself_ready, incarnation, sharing })
+    let itself_ready = ready.as_ref().map(|(status, _)| *status == 200);
+    let drains = ready.is_some_and(|(_, why)| why.trim_end().ends_with("draining"));
+    let ready = by("ready");
+    Some(Seen { at, asked: at, node, digest, states, ready, itself_ready, drains, incarnation, sharing })
 }
 
 /// Datagrams that nobody sealed.
--- a/crates/rig/src/plot.rs
+++ b/crates/rig/src/plot.rs
@@ -41,7 +41,7 @@
 
 /// The page.
 pub fn page(history: &History) -> String {
-    let empty = Schedule { nodes: 0, zones: 1, seconds: 1.0, seed: 0, steps: Vec::new() };
+    let empty = Schedule { nodes: 0, zones: 1, voters: 0, seconds: 1.0, seed: 0, steps: Vec::new() };
     let schedule = history.schedule.as_ref().unwrap_or(&empty);
     let paper = Paper { scale: (WIDTH / schedule.seconds).min(SECOND), left: 60.0 };
     let high = schedule.nodes as f64 * ROW;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -38,6 +38,10 @@
     pub seeds: Vec<SocketAddr>,
     /// The file of keys.
     pub keys: PathBuf,
+    /// Who votes on drains; none: nobody is asked.
+    pub voters: Vec<String>,
+    /// Where it keeps its log and vote.
+    pub votes: PathBuf,
 }
 
 /// A process that runs; it is killed when this is dropped.
@@ -72,12 +76,15 @@
     /// If it can't be started, or ends or says nothing.
     pub async fn start(start: &Start) -> io::Result<Process> {
         std::fs::create_dir_all(&start.folder)?;
-        let operator = json!({
+        let mut operator = json!({
             "config": "node.json", "admin": "127.0.0.1:0",
             "fleet": {"listen": start.fleet.to_string(), "advertise": start.advertise.to_string(),
                 "seeds": start.seeds.iter().map(SocketAddr::to_string).collect::<Vec<_>>(),
                 "keys": start.keys, "zone": start.zone},
         });
+        if !start.voters.is_empty() {
+            operator["fleet"]["agree"] = json!({"voters": start.voters, "folder": start.votes});
+        }
         std::fs::write(start.folder.join("node.json"), config(start).to_string())?;
         std::fs::write(start.folder.join("operator.json"), operator.to_string())?;
         let mut command = Command::new(&start.program);
--- a/crates/standin/src/drawn.rs
+++ b/crates/standin/src/drawn.rs
@@ -97,7 +97,7 @@
             step.at = thousandths(step.at);
         }
         steps.sort_by(|a, b| a.at.total_cmp(&b.at));
-        Ok(Schedule { nodes, zones: 3, seconds, seed, steps })
+        Ok(Schedule { nodes, zones: 3, voters: 0, seconds, seed, steps })
     }
 
     /// A schedule without the steps that a failure does not need: those are left out, one by one, as long as it still
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -12,6 +12,9 @@
     /// Over how many zones they are spread in turn.
     #[serde(default = "one")]
     pub zones: usize,
+    /// How many of them, from the first, vote on drains; none: whoever is told to drain drains.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub voters: usize,
     /// How long it takes in all.
     pub seconds: f64,
     /// For what is drawn while it is played: losses, delays.
@@ -26,6 +29,10 @@
     1
 }
 
+fn is_none(voters: &usize) -> bool {
+    *voters == 0
+}
+
 /// One thing that happens.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Step {
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -59,6 +59,12 @@
     pub ready: BTreeMap<usize, String>,
     /// Whether the node says that it is ready, if it was asked.
     pub itself_ready: Option<bool>,
+    /// When it was asked: what it says was so between then and `at`.
+    #[serde(default)]
+    pub asked: f64,
+    /// Whether it says that it drains.
+    #[serde(default)]
+    pub drains: bool,
     /// Its incarnation, as it tells it.
     #[serde(default)]
     pub incarnation: u64,
@@ -179,6 +185,32 @@
         found
     }
 
+    /// From when to when each node drained for sure: it said so twice, with no word between that it did not.
+    pub fn drained(&self) -> Vec<(usize, f64, f64)> {
+        let mut spans: Vec<(usize, f64, f64)> = Vec::new();
+        let mut last: BTreeMap<usize, &Seen> = BTreeMap::new();
+        for seen in &self.seen {
+            let before = last.insert(seen.node, seen);
+            let Some(before) = before.filter(|before| before.drains && seen.drains) else { continue };
+            if before.incarnation != seen.incarnation || seen.asked <= before.at {
+                continue;
+            }
+            match spans.iter_mut().rev().find(|span| span.0 == seen.node) {
+                Some(span) if span.2 >= before.asked => span.2 = seen.asked,
+                _ => spans.push((seen.node, before.at, seen.asked)),
+            }
+        }
+        spans
+    }
+
+    /// The most nodes that drained at once, and when that began.
+    pub fn most_drained(&self) -> (usize, f64) {
+        let spans = self.drained();
+        let at_once = |at: f64| spans.iter().filter(|(_, from, to)| *from <= at && at < *to).count();
+        let begins = spans.iter().map(|(_, from, _)| (at_once(*from), *from));
+        begins.max_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1))).unwrap_or((0, 0.0))
+    }
+
     /// What it shows, in a few lines: each end and when it was seen, when the fleet settled, deaths without a reason.
     pub fn told(&self) -> String {
         use std::fmt::Write as _;
@@ -253,3 +285,35 @@
     };
     schedule.steps.iter().any(cuts)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seen(node: usize, at: f64, drains: bool) -> Seen {
+        Seen {
+            at,
+            asked: at - 0.01,
+            node,
+            digest: String::new(),
+            states: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            itself_ready: Some(!drains),
+            drains,
+            incarnation: 1,
+            sharing: None,
+        }
+    }
+
+    #[test]
+    fn two_that_drain_at_once_are_seen_and_two_in_turn_are_not() {
+        let of = |all: &[(usize, f64, bool)]| History {
+            seen: all.iter().map(|(node, at, drains)| seen(*node, *at, *drains)).collect(),
+            ..History::default()
+        };
+        let turn = of(&[(0, 1.0, true), (0, 1.1, true), (1, 1.15, true), (0, 1.2, false), (1, 1.3, true)]);
+        assert_eq!((turn.most_drained().0, turn.drained().len()), (1, 2));
+        let both = of(&[(0, 1.0, true), (1, 1.05, true), (0, 1.1, true), (1, 1.15, true), (0, 1.2, true)]);
+        assert_eq!(both.most_drained(), (2, 1.05));
+    }
+}
--- a/crates/world/examples/fleet_figures.rs
+++ b/crates/world/examples/fleet_figures.rs
@@ -15,7 +15,7 @@
 }
 
 fn schedule(nodes: usize, seconds: f64, seed: u64, steps: Vec<Step>) -> Schedule {
-    Schedule { nodes, zones: 3, seconds, seed, steps }
+    Schedule { nodes, zones: 3, voters: 0, seconds, seed, steps }
 }
 
 /// Samples of 50 ms make the times coarse by that much.
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -462,6 +462,8 @@
                 states,
                 ready,
                 itself_ready,
+                asked: at,
+                drains: of.ready == Ready::Draining,
                 incarnation,
                 sharing,
             });
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,6 +1,7 @@
 //! What operators call: one HTTP/1.1 call a connection, as a state machine that is fed bytes (RFC 9112).
 
 use crate::broker::{ClassCounts, Figures};
+use hopmoor_agree::{Asking, Most, Permit, Scope, Voter};
 use hopmoor_fleet::{self as fleet, View};
 use httparse::Status;
 use serde_json::{Value, json};
@@ -23,15 +24,18 @@
     Resume,
     /// What the node knows of its fleet.
     Fleet,
+    /// What the fleet has agreed on.
+    Permits,
 }
 
 /// Each place with the one method it takes.
-const PLACES: [(&str, &str, Ask); 5] = [
+const PLACES: [(&str, &str, Ask); 6] = [
     ("/-/ready", "GET", Ask::Ready),
     ("/-/metrics", "GET", Ask::Metrics),
     ("/-/drain", "PUT", Ask::Drain),
     ("/-/resume", "PUT", Ask::Resume),
     ("/-/fleet", "GET", Ask::Fleet),
+    ("/-/permits", "GET", Ask::Permits),
 ];
 
 /// A call that is refused without asking the node.
@@ -88,6 +92,7 @@
 fn answer_in(kind: &str, status: u16, more: &str, body: &str) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
+        202 => "Accepted",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
@@ -117,6 +122,30 @@
     }
 }
 
+/// What a node knows of what is agreed, as JSON. What stands in the log only a voter knows.
+pub fn permits(name: &str, asking: &Asking, voter: Option<&Voter>, silent: Option<&str>) -> Vec<u8> {
+    let mut body = json!({
+        "node": name, "asks": asking.told(), "permit": asking.fence(), "votes": voter.is_some(), "silent": silent,
+    });
+    if let Some(voter) = voter {
+        let state = voter.state();
+        let budget = |(scope, most): (&Scope, Most)| {
+            let most = match most {
+                Most::Number(number) => number.to_string(),
+                Most::Percent(share) => format!("{share}%"),
+            };
+            json!({"scope": scope.to_string(), "most": most})
+        };
+        let permit = |permit: &Permit| json!({"node": permit.node, "permit": permit.fence, "waits_for": state.reason(permit)});
+        body["leader"] = json!(voter.leader());
+        body["term"] = json!(voter.term());
+        body["index"] = json!(state.index());
+        body["budgets"] = state.budgets().map(budget).collect();
+        body["permits"] = state.permits().iter().map(permit).collect();
+    }
+    answer_in("application/json", 200, "", &format!("{body:#}\n"))
+}
+
 /// What a node knows of its fleet, as JSON.
 pub fn fleet(view: &View) -> Vec<u8> {
     let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,5 +1,7 @@
 //! Answers operators: seats of its own, so that no crowd of clients keeps a call out.
 
+use super::agree::Agree;
+use super::fleet::Link;
 use super::{Node, listen};
 use crate::admin::{self, Ask, Call, Refused};
 use slog::{info, warn};
@@ -115,17 +117,38 @@
             None if node.in_fleet => admin::answer(503, "", "the fleet's port is still another process's\n"),
             None => admin::refusal(Refused::Unknown),
         },
+        Ask::Permits => match agreement(node) {
+            Some((link, agree)) => agree.permits(&link.id().name),
+            None => admin::refusal(Refused::Unknown),
+        },
         Ask::Drain => {
+            match agreement(node) {
+                Some((_, agree)) => return agree.drain(node),
+                None if node.agrees => {
+                    return admin::answer(503, "", "not in the fleet yet: nobody can be asked\n");
+                }
+                None => {}
+            }
             let done = node.with(|broker, now| broker.drain(now));
             said(node, "drain", done, "draining\n")
         }
         Ask::Resume => {
             let done = node.with(|broker, _| broker.resume());
+            if let Some((_, agree)) = agreement(node).filter(|_| done) {
+                agree.resume();
+            }
             said(node, "resume", done, "taking clients\n")
         }
     }
 }
 
+/// The link and the agreement, where drains are asked of the fleet.
+fn agreement(node: &Rc<Node>) -> Option<(Rc<Link>, Rc<Agree>)> {
+    let link = node.fleet.borrow().clone()?;
+    let agree = link.agree.clone()?;
+    Some((link, agree))
+}
+
 fn said(node: &Node, call: &'static str, done: bool, body: &str) -> Vec<u8> {
     info!(node.log, "told by an operator"; "call" => call, "done" => done,
         "transactions" => node.broker.borrow().transactions());
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -1,13 +1,13 @@
 //! The link to the fleet: one port for datagrams and exchanges. What is known and decided is `hopmoor_fleet`'s; this
 //! reads, writes and keeps the time.
 
-use super::{Node, listen};
+use super::{Node, agree, listen};
 use crate::admin;
 use crate::broker::Unready;
 use crate::config;
 use crate::operator;
 use hopmoor_fleet::{
-    Event, Exchange, FRAME, Fleet, Id, Order, Ready, Refused, Said, Setup, State, View, word,
+    Event, Exchange, FRAME, Fleet, Id, Name, Order, Ready, Refused, Said, Setup, State, View, word,
 };
 use hopmoor_record::NeighbourState;
 use slog::{info, warn};
@@ -66,6 +66,8 @@
     refused: Cell<(f64, u64)>,
     /// How many nodes the broker was told to share with.
     sharing: Cell<Option<u32>>,
+    /// Drains are asked of the fleet.
+    pub(super) agree: Option<Rc<agree::Agree>>,
 }
 
 impl Link {
@@ -73,6 +75,23 @@
         self.fleet.borrow().view(node.clock.now() as u64)
     }
 
+    pub(super) fn id(&self) -> Id {
+        self.fleet.borrow().id().clone()
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Sends something that is not of the view; it goes out with the next orders that are carried out.
+    pub(super) fn send_beside(&self, to: &str, bytes: &[u8]) {
+        self.fleet.borrow_mut().send_beside(to, bytes);
+    }
+
+    pub(super) fn beside(&self) -> Option<(Name, Vec<u8>)> {
+        self.fleet.borrow_mut().beside()
+    }
+
     pub(super) fn metrics(&self) -> String {
         let fleet = self.fleet.borrow();
         admin::fleet_metrics(fleet.counts(), &fleet.figures())
@@ -180,8 +199,13 @@
         closed: Cell::new(false),
         refused: Cell::default(),
         sharing: Cell::new(None),
+        agree: config.agree.clone().map(|config| Rc::new(agree::Agree::new(config))),
     });
     *node.fleet.borrow_mut() = Some(link.clone());
+    if let Some(agree) = &link.agree {
+        let task = agree::run(node.clone(), link.clone(), agree.clone(), name.to_owned());
+        tokio::task::spawn_local(task);
+    }
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = [0; BUFFER];
@@ -215,6 +239,10 @@
             read(node, &link, &udp, &mut buffer, WAITING);
             link.fleet.borrow_mut().tick(now);
         }
+        match &link.agree {
+            Some(agree) => agree.wake(),
+            None => while link.beside().is_some() {},
+        }
         // Clients come in their turn, however many datagrams wait.
         tokio::task::yield_now().await;
     }
@@ -249,7 +277,7 @@
     warn!(node.log, "fleet refused a message"; "from" => %from, "why" => %why, "before" => held);
 }
 
-fn carry_out(node: &Rc<Node>, link: &Rc<Link>) {
+pub(super) fn carry_out(node: &Rc<Node>, link: &Rc<Link>) {
     loop {
         let order = link.fleet.borrow_mut().order();
         match order {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The drivers: thin, and the only ones that know sockets, clocks and signals. One thread runs them all.
 
 mod admin;
+mod agree;
 mod fleet;
 mod log;
 mod probe;
@@ -105,6 +106,8 @@
     /// The link to the fleet, once its port is this process's.
     fleet: RefCell<Option<Rc<fleet::Link>>>,
     in_fleet: bool,
+    /// Drains are asked of the fleet.
+    agrees: bool,
 }
 
 impl Node {
@@ -306,6 +309,7 @@
         recorder,
         fleet: RefCell::default(),
         in_fleet: config.fleet.is_some(),
+        agrees: config.fleet.as_ref().is_some_and(|fleet| fleet.agree.is_some()),
     });
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -67,7 +67,8 @@
         if ![1, 3, 5, 7].contains(&voters.len()) || names.len() < voters.len() {
             wrong.push("fleet.agree.voters: 1, 3, 5 or 7 different names are wanted".into());
         }
-        for (n, _) in voters.iter().enumerate().filter(|(_, voter)| !hopmoor_fleet::identity::is_name(voter)) {
+        for (n, _) in voters.iter().enumerate().filter(|(_, voter)| !hopmoor_fleet::identity::is_name(voter))
+        {
             wrong.push(format!("fleet.agree.voters[{n}]: not a node's name"));
         }
         if folder.is_none() && voters.iter().any(|voter| voter == name) {
--- /dev/null
+++ b/tests/agree.rs
@@ -0,0 +1,93 @@
+//! Fleets of real processes that agree on drains, with faults between them; judged by what observers saw from outside.
+
+use hopmoor_rig::{Options, play};
+use hopmoor_standin::faults::Schedule;
+use hopmoor_standin::history::History;
+use std::path::PathBuf;
+
+fn run(nodes: usize, voters: usize, seconds: f64, steps: &str) -> History {
+    let text = format!(
+        r#"{{"nodes":{nodes},"zones":3,"voters":{voters},"seconds":{seconds},"seed":1,"steps":[{steps}]}}"#
+    );
+    let options = Options { program: PathBuf::from(env!("CARGO_BIN_EXE_hopmoor")), ..Options::default() };
+    play(&Schedule::read(&text).unwrap(), &options).unwrap()
+}
+
+const NOBODY: [usize; 0] = [];
+
+/// Who drained for sure at some time within these.
+fn drained(history: &History, from: f64, to: f64) -> Vec<usize> {
+    let mut who: Vec<usize> =
+        history.drained().iter().filter(|span| span.1 < to && span.2 > from).map(|span| span.0).collect();
+    who.sort_unstable();
+    who.dedup();
+    who
+}
+
+#[test]
+fn two_ask_and_one_waits_until_the_other_is_back() {
+    let history = run(
+        3,
+        3,
+        16.0,
+        r#"{"at":6,"fault":"drain","nodes":{"only":[1,2]},"on":true},
+           {"at":9,"fault":"drain","nodes":{"only":[1]},"on":false},
+           {"at":12,"fault":"drain","nodes":{"only":[2]},"on":false}"#,
+    );
+    assert_eq!(history.most_drained().0, 1, "{:?}", history.drained());
+    assert_eq!(drained(&history, 6.0, 9.0), [1], "{:?}", history.drained());
+    assert_eq!(drained(&history, 9.5, 12.0), [2], "{:?}", history.drained());
+    assert_eq!(drained(&history, 13.0, 16.0), NOBODY, "{:?}", history.drained());
+}
+
+#[test]
+fn without_a_majority_nobody_drains_and_with_it_again_one_does() {
+    let history = run(
+        4,
+        3,
+        24.0,
+        r#"{"at":6,"fault":"kill","nodes":{"only":[0,1]}},
+           {"at":7,"fault":"drain","nodes":{"only":[2,3]},"on":true},
+           {"at":12,"fault":"start","nodes":{"only":[0,1]}}"#,
+    );
+    assert_eq!(drained(&history, 0.0, 12.0), NOBODY, "{:?}", history.drained());
+    assert_eq!(history.most_drained().0, 1, "{:?}", history.drained());
+    assert_eq!(drained(&history, 20.0, 24.0).len(), 1, "{:?}", history.drained());
+}
+
+#[test]
+fn the_permit_of_a_node_that_died_frees_nobody_until_it_serves_again() {
+    let history = run(
+        4,
+        3,
+        26.0,
+        r#"{"at":6,"fault":"drain","nodes":{"only":[3]},"on":true},
+           {"at":8,"fault":"kill","nodes":{"only":[3]}},
+           {"at":9,"fault":"drain","nodes":{"only":[1]},"on":true},
+           {"at":16,"fault":"start","nodes":{"only":[3]}}"#,
+    );
+    assert_eq!(drained(&history, 6.0, 8.0), [3], "{:?}", history.drained());
+    assert_eq!(drained(&history, 8.5, 16.0), NOBODY, "{:?}", history.drained());
+    assert_eq!(drained(&history, 16.0, 26.0), [1], "{:?}", history.drained());
+}
+
+#[test]
+fn a_part_without_a_majority_grants_nothing_though_it_had_the_leader() {
+    // Whoever leads is among 0 to 2: one of the three parts without a majority has it, in turn.
+    let history = run(
+        6,
+        3,
+        44.0,
+        r#"{"at":6,"fault":"link","from":{"only":[0,3]},"to":{"but":[0,3]},"both":true,"how":{"cut":true},"seconds":8},
+           {"at":7,"fault":"drain","nodes":{"only":[3,4]},"on":true},
+           {"at":18,"fault":"drain","nodes":"all","on":false},
+           {"at":22,"fault":"link","from":{"only":[1,2,5]},"to":{"but":[1,2,5]},"both":true,"how":{"cut":true},"seconds":8},
+           {"at":22.2,"fault":"drain","nodes":{"only":[3,4,5]},"on":true},
+           {"at":38,"fault":"drain","nodes":"all","on":false}"#,
+    );
+    assert_eq!(history.most_drained().0, 1, "{:?}", history.drained());
+    // In the part that is cut off from two of three voters nobody drained; after the heals somebody did.
+    assert!(!drained(&history, 7.0, 14.0).contains(&3), "{:?}", history.drained());
+    assert!(!drained(&history, 22.2, 30.0).contains(&4), "{:?}", history.drained());
+    assert_eq!(drained(&history, 15.0, 18.0).len(), 1, "{:?}", history.drained());
+}
