--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -263,10 +263,13 @@
     use crate::state::Answer;
     use crate::{Most, Scope, Standing};
 
+    /// A log and a vote.
+    type Disk = (BTreeMap<u64, Vec<u8>>, Option<Vec<u8>>);
+
     /// Voters with disks that may be lost, and links that may be cut.
     struct Three {
         voters: BTreeMap<String, Voter>,
-        disks: BTreeMap<String, (BTreeMap<u64, Vec<u8>>, Option<Vec<u8>>)>,
+        disks: BTreeMap<String, Disk>,
         cut: Vec<String>,
         names: Vec<String>,
     }
