Play agreed drains in virtual time: drawn faults, lost folders, the real part of every node

crates/agree::Part is a node's whole part without I/O; src/net/agree.rs only reads, writes and keeps the time, and crates/world runs the same under drawn faults with a disk that takes 1 to 8 ms. It found that raft's advance() ends the process if a message or tick came while the disk worked: the voter now hands its Ready on at once and says what was held once the disk is done.

--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`voter`]: one voter of the log, by `raft`.
 //! - [`founding`]: the first start of the voters, and how one notices that its folder was lost.
 //! - [`asking`]: a node's side: it asks, drains on a grant, gives back.
+//! - [`part`]: a node's part in it all, as the node and the virtual fleet run it.
 //! - [`message`]: what goes between nodes.
 //!
 //! `docs/agree.md` has the design, the argument for its safety and the figures.
@@ -14,6 +15,7 @@
 pub mod entry;
 pub mod founding;
 pub mod message;
+pub mod part;
 pub mod state;
 pub mod voter;
 
@@ -21,5 +23,6 @@
 pub use entry::{Entry, Most, Request, Scope, SeenNode, Standing};
 pub use founding::{Founding, Outcome};
 pub use message::Message;
+pub use part::{Note, Order, Part};
 pub use state::{Answer, Change, Permit, State};
 pub use voter::{Kept, Voter, Work};
--- /dev/null
+++ b/crates/agree/src/part.rs
@@ -0,0 +1,355 @@
+//! A node's part in the agreement, whole: it asks for its own drains, and votes if it is a voter. Fed messages, ticks and
+//! the view; yields what is to be sent, kept and done.
+
+use crate::asking::Asking;
+use crate::entry::{Entry, Request, SeenNode};
+use crate::founding::{Founders, Founding, Hail, Outcome};
+use crate::message::Message;
+use crate::state::{Answer, Change, Permit};
+use crate::voter::{Kept, Voter, Work};
+use std::collections::VecDeque;
+
+/// Voters that found tell each other so this often.
+const HAIL_MS: u64 = 500;
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Order {
+    /// Send this to a node; it may be lost.
+    Send(String, Vec<u8>),
+    /// The node is to drain, by this permit.
+    Drain(u64),
+    /// Have it on disk that the log is founded by these; then [`Part::founded`].
+    Found(Vec<u8>),
+    /// Have this on disk; then [`Part::kept`].
+    Keep(Work),
+}
+
+/// What staff may want to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// It votes.
+    Votes {
+        /// In this term.
+        term: u64,
+    },
+    /// It does not vote, or no more, because of this.
+    Silent(String),
+}
+
+/// A node's part.
+pub struct Part {
+    me: String,
+    voters: Vec<String>,
+    seed: u64,
+    log: slog::Logger,
+    asking: Asking,
+    voter: Option<Voter>,
+    founding: Option<Founding>,
+    founders: Option<Founders>,
+    silent: Option<String>,
+    /// The voter to be asked next.
+    turn: usize,
+    hails: u64,
+    /// Something is on its way to disk.
+    busy: bool,
+    orders: VecDeque<Order>,
+    notes: VecDeque<Note>,
+}
+
+impl Part {
+    /// A node's part at its start. The seed is drawn anew at each start.
+    pub fn new(me: &str, voters: &[String], seed: u64, log: slog::Logger) -> Part {
+        Part {
+            me: me.to_owned(),
+            voters: voters.to_vec(),
+            seed,
+            log,
+            asking: Asking::default(),
+            voter: None,
+            founding: None,
+            founders: None,
+            silent: None,
+            turn: 0,
+            hails: 0,
+            busy: false,
+            orders: VecDeque::new(),
+            notes: VecDeque::new(),
+        }
+    }
+
+    /// Whether it is to vote: its folder is to be opened then.
+    pub fn is_to_vote(&self) -> bool {
+        self.voters.contains(&self.me)
+    }
+
+    /// Its folder is open, with what was in it; none: it is empty.
+    pub fn opened(&mut self, found: Option<(Vec<u8>, Kept)>) {
+        match found {
+            Some((founders, kept)) => match Message::read(&founders) {
+                Some(Message::Hail(Hail::Founded(founders))) => self.begin(founders, kept),
+                _ => self.stop("the folder does not say who founded the log"),
+            },
+            None => self.founding = Some(Founding::new(&self.me, &self.voters, self.seed)),
+        }
+    }
+
+    /// It can't vote, or no more: its folder is not to be had, or what was to be kept was not.
+    pub fn stop(&mut self, why: &str) {
+        self.voter = None;
+        self.founding = None;
+        self.busy = false;
+        if self.silent.as_deref() != Some(why) {
+            self.silent = Some(why.to_owned());
+            self.notes.push_back(Note::Silent(why.to_owned()));
+        }
+    }
+
+    fn begin(&mut self, founders: Founders, kept: Kept) {
+        match Voter::new(&self.me, &self.voters, kept, self.seed, &self.log) {
+            Ok(voter) => {
+                self.silent = None;
+                self.notes.push_back(Note::Votes { term: voter.term() });
+                self.founders = Some(founders);
+                self.voter = Some(voter);
+            }
+            Err(error) => self.stop(&error.to_string()),
+        }
+    }
+
+    /// Asks for a permit to drain, under this new number, unless it asks or holds one.
+    pub fn ask(&mut self, request: Request) {
+        self.asking.ask(request);
+    }
+
+    /// The node serves, or is not to drain: it gives back what it holds or asks.
+    pub fn give_back(&mut self) {
+        self.asking.give_back();
+    }
+
+    /// What it asks and holds.
+    pub fn asking(&self) -> &Asking {
+        &self.asking
+    }
+
+    /// The voter, if it votes.
+    pub fn voter(&self) -> Option<&Voter> {
+        self.voter.as_ref()
+    }
+
+    /// Why it does not vote, if it is to.
+    pub fn silent(&self) -> Option<&str> {
+        self.silent.as_deref()
+    }
+
+    /// What staff may want to know.
+    pub fn note(&mut self) -> Option<Note> {
+        self.notes.pop_front()
+    }
+
+    /// [`crate::voter::TICK_MS`] have gone by.
+    pub fn tick(&mut self, now: u64) {
+        if let Some(voter) = &mut self.voter {
+            voter.tick();
+        }
+        if now >= self.hails
+            && let Some(founding) = &self.founding
+        {
+            self.hails = now + HAIL_MS;
+            let hail = Message::Hail(founding.hail());
+            let others: Vec<String> =
+                self.voters.iter().filter(|voter| **voter != self.me).cloned().collect();
+            others.iter().for_each(|to| self.send(to, &hail));
+        }
+        if let Some(alone) = self.founding.as_ref().map(Founding::alone) {
+            self.found(alone);
+        }
+    }
+
+    /// Whether the view is wanted: it is a leader's.
+    pub fn wants_view(&self) -> bool {
+        self.voter.as_ref().is_some_and(Voter::leads)
+    }
+
+    /// How the view has the nodes.
+    pub fn sees(&mut self, view: &[SeenNode]) {
+        if let Some(voter) = &mut self.voter {
+            voter.sees(view);
+        }
+    }
+
+    /// Asks and gives back what is due, as this coming of the node.
+    pub fn due(&mut self, now: u64, incarnation: u64) {
+        for entry in self.asking.due(now, &self.me, incarnation) {
+            let to = self.voters.get(self.turn % self.voters.len().max(1)).cloned();
+            self.turn = self.turn.wrapping_add(1);
+            if let Some(to) = to {
+                self.send(&to, &Message::Propose(entry));
+            }
+        }
+    }
+
+    /// What another node has sent.
+    pub fn message(&mut self, from: &str, bytes: &[u8]) {
+        if let Some(message) = Message::read(bytes) {
+            self.take(from, message);
+        }
+    }
+
+    fn take(&mut self, from: &str, message: Message) {
+        let of_voter = self.voters.iter().any(|voter| voter == from);
+        match message {
+            Message::Log(bytes) if of_voter => {
+                if let Some(voter) = &mut self.voter {
+                    voter.message(from, &bytes);
+                }
+            }
+            Message::Propose(entry) => self.proposed(from, entry),
+            Message::Answer(request, answer) if of_voter => {
+                if self.asking.answered(request, answer)
+                    && let Some(fence) = self.asking.fence()
+                {
+                    self.orders.push_back(Order::Drain(fence));
+                }
+            }
+            Message::Hail(hail) if of_voter => match (&mut self.founding, hail) {
+                (Some(founding), hail) => {
+                    let outcome = founding.heard(from, hail);
+                    self.found(outcome);
+                }
+                // One that has founded tells who is empty still.
+                (None, Hail::Empty(_)) => {
+                    if let Some(founders) = self.founders.clone() {
+                        self.send(from, &Message::Hail(Hail::Founded(founders)));
+                    }
+                }
+                (None, Hail::Founded(_)) => {}
+            },
+            Message::Log(_) | Message::Answer(..) | Message::Hail(_) => {}
+        }
+    }
+
+    fn found(&mut self, outcome: Outcome) {
+        match outcome {
+            Outcome::Waits => {}
+            Outcome::Founds(founders) => {
+                self.founding = None;
+                self.busy = true;
+                match Message::Hail(Hail::Founded(founders.clone())).write() {
+                    Some(bytes) => self.orders.push_back(Order::Found(bytes)),
+                    None => self.stop("who founds can't be written"),
+                }
+                self.founders = Some(founders);
+            }
+            Outcome::Lost => {
+                self.stop("its folder was lost: the others founded with an earlier start of it");
+            }
+        }
+    }
+
+    /// That the log is founded is on disk.
+    pub fn founded(&mut self) {
+        if let Some(founders) = self.founders.take() {
+            self.busy = false;
+            self.begin(founders, Kept::default());
+        }
+    }
+
+    /// Answers from the log, or has it come into the log.
+    fn proposed(&mut self, from: &str, entry: Entry) {
+        let Some(voter) = &mut self.voter else { return };
+        let request = match &entry {
+            Entry::Ask { request, node, .. } if node == from => *request,
+            Entry::Back(request) => *request,
+            // Nobody asks for another; the rest is not a node's to say.
+            Entry::Ask { .. } | Entry::Seen(_) | Entry::Budget(..) => return,
+        };
+        let answer = voter.state().answer(request);
+        let known = match entry {
+            Entry::Back(_) => answer == Answer::Over,
+            _ => answer != Answer::Unknown,
+        };
+        if known {
+            self.send(from, &Message::Answer(request, answer));
+        } else {
+            voter.propose(&entry);
+        }
+    }
+
+    /// An operator sets a budget; whether it comes into the log is seen there. False if no voter is to be reached by this
+    /// node.
+    pub fn set_budget(&mut self, entry: &Entry) -> bool {
+        let Some(voter) = &mut self.voter else { return false };
+        voter.propose(entry);
+        true
+    }
+
+    fn send(&mut self, to: &str, message: &Message) {
+        if to == self.me {
+            self.take(&self.me.clone(), message.clone());
+        } else if let Some(bytes) = message.write() {
+            self.orders.push_back(Order::Send(to.to_owned(), bytes));
+        }
+    }
+
+    fn say(&mut self, messages: Vec<(String, Vec<u8>)>) {
+        for (to, bytes) in messages {
+            self.send(&to, &Message::Log(bytes));
+        }
+    }
+
+    /// What is to be done next.
+    pub fn order(&mut self) -> Option<Order> {
+        loop {
+            if let Some(order) = self.orders.pop_front() {
+                return Some(order);
+            }
+            if self.busy {
+                return None;
+            }
+            match self.voter.as_mut()?.work() {
+                Ok(None) => return None,
+                Err(error) => self.stop(&error.to_string()),
+                Ok(Some(mut work)) => {
+                    self.say(std::mem::take(&mut work.first));
+                    self.busy = true;
+                    if work.log.is_empty() && work.vote.is_none() {
+                        self.kept();
+                    } else {
+                        self.orders.push_back(Order::Keep(work));
+                    }
+                }
+            }
+        }
+    }
+
+    /// What was to be kept is on disk.
+    pub fn kept(&mut self) {
+        self.busy = false;
+        if let Some(messages) = self.voter.as_mut().map(Voter::done) {
+            self.say(messages);
+        }
+        self.tell_changes();
+    }
+
+    /// The leader tells who was granted at once; the rest hear it when they ask again.
+    fn tell_changes(&mut self) {
+        let Some(voter) = &mut self.voter else { return };
+        let changes = voter.changes();
+        let granted = |permit: &&Permit| {
+            changes.iter().any(|change| {
+                matches!(change, Change::Granted { node, fence }
+                    if *node == permit.node && Some(*fence) == permit.fence)
+            })
+        };
+        if changes.is_empty() || !voter.leads() {
+            return;
+        }
+        let granted: Vec<Permit> = voter.state().permits().iter().filter(granted).cloned().collect();
+        for permit in granted {
+            if let Some(fence) = permit.fence {
+                self.send(&permit.node, &Message::Answer(permit.request, Answer::Granted(fence)));
+            }
+        }
+    }
+}
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 pub struct Work {
     /// Messages that need not wait.
-    pub first: Vec<(String, Vec<u8>)>,
+    pub first: Messages,
     /// To be on disk, together, before [`Voter::done`]: the log from this index on, in place of what was there.
     pub log: Vec<(u64, Vec<u8>)>,
     /// And term and vote.
@@ -69,16 +69,21 @@
     }
 }
 
+/// To whom, and what.
+pub type Messages = Vec<(String, Vec<u8>)>;
+
 /// One voter.
 pub struct Voter {
     raft: RawNode<MemStorage>,
     names: BTreeMap<u64, String>,
     state: State,
-    under_way: Option<raft::Ready>,
+    /// What is on its way to disk, and what may be said only then.
+    under_way: Option<(u64, Messages)>,
     ticks: u64,
     /// When the leader last proposed what it sees.
     saw: Option<u64>,
     changes: Vec<Change>,
+    seed: u64,
 }
 
 fn number(name: &str) -> u64 {
@@ -86,11 +91,17 @@
 }
 
 impl Voter {
-    /// A voter that has this on disk.
+    /// A voter that has this on disk. The seed draws how long it waits before it stands for election.
     ///
     /// # Errors
     /// What is on disk can't be read, or the voters are none.
-    pub fn new(me: &str, voters: &[String], kept: Kept, log: &slog::Logger) -> Result<Voter, Stopped> {
+    pub fn new(
+        me: &str,
+        voters: &[String],
+        kept: Kept,
+        seed: u64,
+        log: &slog::Logger,
+    ) -> Result<Voter, Stopped> {
         let names: BTreeMap<u64, String> = voters.iter().map(|name| (number(name), name.clone())).collect();
         let ids: Vec<u64> = names.keys().copied().collect();
         let store = MemStorage::new_with_conf_state((ids, Vec::new()));
@@ -128,12 +139,16 @@
             ticks: 0,
             saw: None,
             changes: Vec::new(),
+            seed,
         })
     }
 
     /// Time has come on by [`TICK_MS`].
     pub fn tick(&mut self) {
         self.ticks += 1;
+        // Drawn for each term by the seed, not by raft's own source: a run in virtual time is the same each time.
+        let drawn = xxhash_rust::xxh3::xxh3_64_with_seed(&self.term().to_le_bytes(), self.seed);
+        self.raft.raft.set_randomized_election_timeout(ELECTION + (drawn % ELECTION as u64) as usize);
         self.raft.tick();
     }
 
@@ -193,7 +208,7 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn addressed(&self, messages: Vec<Message>) -> Vec<(String, Vec<u8>)> {
+    fn addressed(&self, messages: Vec<Message>) -> Messages {
         let addressed =
             |message: Message| Some((self.names.get(&message.to)?.clone(), message.write_to_bytes().ok()?));
         messages.into_iter().filter_map(addressed).collect()
@@ -222,38 +237,32 @@
         }
         let mut ready = self.raft.ready();
         let first = ready.take_messages();
-        let committed = ready.take_committed_entries();
-        self.apply(committed)?;
+        let held = ready.take_persisted_messages();
         let mut work = Work { first: self.addressed(first), ..Work::default() };
         for entry in ready.entries() {
             work.log.push((entry.index, entry.write_to_bytes()?));
         }
+        work.vote = ready.hs().map(HardState::write_to_bytes).transpose()?;
         let mut store = self.raft.mut_store().wl();
         store.append(ready.entries())?;
         if let Some(vote) = ready.hs() {
-            work.vote = Some(vote.write_to_bytes()?);
             store.set_hardstate(vote.clone());
         }
         drop(store);
-        self.under_way = Some(ready);
+        let committed = ready.take_committed_entries();
+        self.under_way = Some((ready.number(), self.addressed(held)));
+        // Messages and ticks go on coming while the disk works: only the way that is told so may be taken.
+        self.raft.advance_append_async(ready);
+        self.apply(committed)?;
+        self.raft.advance_apply();
         Ok(Some(work))
     }
 
     /// What was to be on disk is there: what may be said now.
-    ///
-    /// # Errors
-    /// The voter stops.
-    pub fn done(&mut self) -> Result<Vec<(String, Vec<u8>)>, Stopped> {
-        let Some(mut ready) = self.under_way.take() else { return Ok(Vec::new()) };
-        let mut messages = ready.take_persisted_messages();
-        let mut light = self.raft.advance(ready);
-        if let Some(commit) = light.commit_index() {
-            self.raft.mut_store().wl().mut_hard_state().set_commit(commit);
-        }
-        messages.extend(light.take_messages());
-        self.apply(light.take_committed_entries())?;
-        self.raft.advance_apply();
-        Ok(self.addressed(messages))
+    pub fn done(&mut self) -> Messages {
+        let Some((number, held)) = self.under_way.take() else { return Vec::new() };
+        self.raft.on_persist_ready(number);
+        held
     }
 }
 
@@ -294,7 +303,10 @@
         fn start(&mut self, name: &str) {
             let (log, vote) = self.disks.entry(name.to_owned()).or_default().clone();
             let kept = Kept { vote, log: log.into_values().collect() };
-            self.voters.insert(name.to_owned(), Voter::new(name, &self.names, kept, &quiet()).unwrap());
+            self.voters.insert(
+                name.to_owned(),
+                Voter::new(name, &self.names, kept, u64::from(name.as_bytes()[0]), &quiet()).unwrap(),
+            );
         }
 
         fn run(&mut self, ticks: usize) {
@@ -310,7 +322,7 @@
                             }
                             log.extend(work.log);
                             *vote = work.vote.or(vote.take());
-                            let more = work.first.into_iter().chain(voter.done().unwrap());
+                            let more = work.first.into_iter().chain(voter.done());
                             sent.extend(more.map(|(to, bytes)| (name.clone(), to, bytes)));
                         }
                     }
@@ -386,6 +398,6 @@
         let last = *log.keys().last().unwrap();
         log.remove(&last);
         let kept = Kept { vote, log: log.into_values().collect() };
-        assert!(Voter::new("a", &three.names, kept, &quiet()).is_err());
+        assert!(Voter::new("a", &three.names, kept, 1, &quiet()).is_err());
     }
 }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -346,6 +346,15 @@
                     }
                 }
             }
+            Fault::Back => {
+                for process in self.places.iter().filter_map(|place| place.process.as_ref()) {
+                    // One that does not answer just now is asked again by the next step.
+                    let Ok((_, why)) = call(process.admin, "GET", "/-/ready").await else { continue };
+                    if why.trim_end().ends_with("draining") {
+                        call(process.admin, "PUT", "/-/resume").await?;
+                    }
+                }
+            }
             Fault::Rotate { pause } => {
                 let [old, new] = KEYS;
                 let files = [file_of(&KEYS, old.0), file_of(&KEYS, new.0), file_of(&[new], new.0)];
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -109,6 +109,8 @@
         /// Whether it drains.
         on: bool,
     },
+    /// Each node that drains takes clients again; those that wait for a permit go on waiting.
+    Back,
     /// A new key: first all get it, then all seal with it, then the old one goes; so long between.
     Rotate {
         /// Between the steps, in seconds.
--- a/crates/world/src/fleet.rs
+++ b/crates/world/src/fleet.rs
@@ -1,6 +1,10 @@
 //! A fleet in virtual time: the real `hopmoor-fleet` of every node, and between them a network that is made up here and
 //! broken by a schedule. One seed gives one run.
 
+mod agree;
+
+pub use agree::{Drains, drains};
+
 use hopmoor_fleet::{Exchange, Fleet, Id, Millis, Order, Ready, Said, State};
 use hopmoor_seal::{KEY_BYTES, Keys};
 use hopmoor_standin::faults::{Fault, Manner, Schedule};
@@ -43,6 +47,8 @@
     Flood { node: usize, until: Millis, every: f64, at: f64 },
     Keys(Stage),
     Watch,
+    Agree(usize),
+    Written(usize, agree::Write),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +74,7 @@
     inbox: Vec<Vec<u8>>,
     ticks_at: Option<Millis>,
     ready: Ready,
+    agreeing: Option<agree::Agreeing>,
 }
 
 /// A run under way.
@@ -88,6 +95,11 @@
     keys: Keys,
     /// Names of the nodes, to find them in views.
     names: HashMap<String, usize>,
+    /// Voters' folders, by node.
+    disks: HashMap<usize, agree::Disk>,
+    most_drained: usize,
+    most_out: usize,
+    drains: u64,
 }
 
 /// A node's name in a run.
@@ -127,6 +139,10 @@
             history,
             keys: keys(&[FIRST_KEY], FIRST_KEY),
             names: (0..schedule.nodes).map(|node| (name(node), node)).collect(),
+            disks: HashMap::new(),
+            most_drained: 0,
+            most_out: 0,
+            drains: 0,
             watch,
             schedule,
         };
@@ -183,7 +199,10 @@
         self.rng.fill(&mut seed);
         let setup = hopmoor_fleet::Setup { id, seeds, keys: self.keys.clone(), seed };
         let fleet = Fleet::new(self.now, setup, said);
+        let agreeing = self.agreeing(node);
+        let agrees = agreeing.is_some();
         let started = Process {
+            agreeing,
             node,
             fleet,
             address,
@@ -200,6 +219,9 @@
         self.of[node].push(process);
         self.act(node, What::Started);
         self.carry_out(process);
+        if agrees {
+            self.due(self.now + hopmoor_agree::voter::TICK_MS, Due::Agree(process));
+        }
     }
 
     fn end(&mut self, process: usize) {
@@ -229,6 +251,7 @@
     /// Does what a process wants done, and sets its next tick.
     fn carry_out(&mut self, process: usize) {
         loop {
+            self.take_part(process);
             let Some(Some(of)) = self.processes.get_mut(process) else { return };
             while of.fleet.event().is_some() {}
             let Some(order) = of.fleet.order() else { break };
@@ -392,21 +415,28 @@
                 let ready = if on { Ready::Draining } else { Ready::Serving };
                 for node in among(&nodes) {
                     for process in self.of[node].clone() {
-                        if let Some(Some(of)) = self.processes.get_mut(process) {
-                            of.ready = ready;
-                            let said = Said {
-                                zone: format!("z-{}", node % zones.max(1)),
-                                clients: of.address.to_string(),
-                                ready,
-                                room: 100,
-                                ..Said::default()
-                            };
-                            of.fleet.say(said);
+                        if self.schedule.voters > 0 {
+                            self.asked(process, on);
+                        } else {
+                            self.speak(process, ready);
                         }
                         self.carry_out(process);
                     }
                 }
             }
+            Fault::Back => {
+                let drains = |of: &Option<Process>| of.as_ref().is_some_and(|of| of.ready == Ready::Draining);
+                let all: Vec<usize> =
+                    (0..self.processes.len()).filter(|process| drains(&self.processes[*process])).collect();
+                for process in all {
+                    if self.schedule.voters > 0 {
+                        self.asked(process, false);
+                    } else {
+                        self.speak(process, Ready::Serving);
+                    }
+                    self.carry_out(process);
+                }
+            }
             Fault::Rotate { pause } => {
                 for (times, stage) in [Stage::Given, Stage::Sealing, Stage::Gone].into_iter().enumerate() {
                     let at = self.millis(step.at + pause * times as f64);
@@ -518,6 +548,8 @@
                     }
                 }
                 Due::Keys(stage) => self.rotate(stage),
+                Due::Agree(process) => self.agree_ticks(process),
+                Due::Written(process, write) => self.written(process, write),
                 Due::Watch => {
                     self.look();
                     self.due(self.now + self.watch.every_ms, Due::Watch);
--- /dev/null
+++ b/crates/world/src/fleet/agree.rs
@@ -0,0 +1,217 @@
+//! The agreement on drains in a virtual fleet: the real part of each node, with a disk that outlives processes.
+
+use super::{Due, Run, Watch};
+use hopmoor::agreed;
+use hopmoor_agree::voter::TICK_MS;
+use hopmoor_agree::{Entry, Kept, Most, Order, Part, Scope, Work};
+use hopmoor_fleet::identity::Millis;
+use hopmoor_fleet::{Ready, Said};
+use hopmoor_standin::faults::Schedule;
+use hopmoor_standin::history::Was;
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// What a write that is synced takes, at least and at most.
+const DISK_MS: std::ops::RangeInclusive<Millis> = 1..=8;
+/// One that is dead for so long was known to be so when a drain was granted, in seconds: a grant may be heard late.
+const LONG_S: f64 = 20.0;
+/// A leader looks at its view this often, in ticks.
+const LOOK: u64 = 2;
+
+/// By then the voters of a schedule have founded, in seconds.
+const FOUNDED_S: f64 = 4.0;
+/// By then some voters are down; one of them loses its folder.
+const LOST_S: f64 = 25.0;
+
+/// What a schedule of drains showed.
+#[derive(Clone, Copy, Debug)]
+pub struct Drains {
+    /// How many may be out.
+    pub budget: usize,
+    /// The most nodes that drained at once by plan.
+    pub drained: usize,
+    /// The most that were out as one of them began: those that drained, and those that had been dead for long.
+    pub out: usize,
+    /// Permits used.
+    pub used: u64,
+}
+
+impl Drains {
+    /// Whether more were out than may be.
+    pub fn is_over(&self) -> bool {
+        self.drained.max(self.out) > self.budget
+    }
+}
+
+/// Plays a schedule whose nodes ask to drain, with a budget of so many nodes; every third seed loses a voter's folder.
+pub fn drains(schedule: &Schedule, budget: u32) -> Drains {
+    let mut run = Run::new(schedule.clone(), Watch { every_ms: 0, seeds: 4 });
+    run.until(FOUNDED_S);
+    // Without a leader yet the first budget stands: one.
+    let budget = if run.set_budget(budget) { budget as usize } else { 1 };
+    run.until(LOST_S);
+    if schedule.seed.is_multiple_of(3) && schedule.voters > 0 {
+        run.disks.remove(&(schedule.seed as usize / 3 % schedule.voters));
+    }
+    run.until(schedule.seconds);
+    Drains { budget, drained: run.most_drained, out: run.most_out, used: run.drains }
+}
+
+/// A voter's folder.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Disk {
+    founders: Option<Vec<u8>>,
+    vote: Option<Vec<u8>>,
+    log: BTreeMap<u64, Vec<u8>>,
+}
+
+/// What is on its way to a disk.
+#[derive(Debug)]
+pub(super) enum Write {
+    Found(Vec<u8>),
+    Keep(Work),
+}
+
+/// A process's part.
+pub(super) struct Agreeing {
+    part: Part,
+    ticks: u64,
+}
+
+impl Run {
+    /// The part of a process that starts.
+    pub(super) fn agreeing(&mut self, node: usize) -> Option<Agreeing> {
+        let voters: Vec<String> = (0..self.schedule.voters).map(super::name).collect();
+        if voters.is_empty() {
+            return None;
+        }
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let mut part = Part::new(&super::name(node), &voters, self.rng.random(), quiet);
+        // A folder is one process's at a time.
+        if part.is_to_vote() && self.of[node].is_empty() {
+            let disk = self.disks.entry(node).or_default().clone();
+            let kept = Kept { vote: disk.vote, log: disk.log.into_values().collect() };
+            part.opened(disk.founders.map(|founders| (founders, kept)));
+        }
+        Some(Agreeing { part, ticks: 0 })
+    }
+
+    /// An operator sets the fleet's budget, through whoever leads; false if nobody does.
+    fn set_budget(&mut self, most: u32) -> bool {
+        let entry = Entry::Budget(Scope::Fleet, Most::Number(most));
+        let leads = |of: &super::Process| of.agreeing.as_ref().is_some_and(|a| a.part.wants_view());
+        let leader = self.processes.iter().position(|of| of.as_ref().is_some_and(leads));
+        let Some(leader) = leader else { return false };
+        if let Some(Some(of)) = self.processes.get_mut(leader)
+            && let Some(agreeing) = &mut of.agreeing
+        {
+            agreeing.part.set_budget(&entry);
+        }
+        self.carry_out(leader);
+        true
+    }
+
+    fn long_dead(&self) -> usize {
+        let now = self.seconds();
+        let dead = |node: &usize| {
+            let (was, since) = self.history.was(*node, now);
+            was == Was::Down && now - since > LONG_S
+        };
+        (0..self.schedule.nodes).filter(|node| self.schedule.starts(*node)).filter(dead).count()
+    }
+
+    /// A node is told to drain, or to take clients again.
+    pub(super) fn asked(&mut self, process: usize, on: bool) {
+        let request = self.rng.random();
+        let Some(Some(of)) = self.processes.get_mut(process) else { return };
+        let Some(agreeing) = &mut of.agreeing else { return };
+        if on {
+            agreeing.part.ask(request);
+        } else {
+            agreeing.part.give_back();
+            self.speak(process, Ready::Serving);
+        }
+    }
+
+    /// A process says how it stands.
+    pub(super) fn speak(&mut self, process: usize, ready: Ready) {
+        let zones = self.schedule.zones.max(1);
+        let Some(Some(of)) = self.processes.get_mut(process) else { return };
+        of.ready = ready;
+        of.fleet.say(Said {
+            zone: format!("z-{}", of.node % zones),
+            clients: of.address.to_string(),
+            ready,
+            room: 100,
+            ..Said::default()
+        });
+    }
+
+    pub(super) fn agree_ticks(&mut self, process: usize) {
+        let Some(Some(of)) = self.processes.get_mut(process) else { return };
+        let Some(agreeing) = &mut of.agreeing else { return };
+        if !of.stopped {
+            agreeing.ticks += 1;
+            agreeing.part.tick(self.now);
+            if agreeing.ticks.is_multiple_of(LOOK) && agreeing.part.wants_view() {
+                let seen = agreed::seen(&of.fleet.view(self.now));
+                agreeing.part.sees(&seen);
+            }
+            self.carry_out(process);
+        }
+        self.due(self.now + TICK_MS, Due::Agree(process));
+    }
+
+    /// A write is on disk, if its process still runs.
+    pub(super) fn written(&mut self, process: usize, write: Write) {
+        let Some(Some(of)) = self.processes.get_mut(process) else { return };
+        let Some(agreeing) = &mut of.agreeing else { return };
+        let disk = self.disks.entry(of.node).or_default();
+        match write {
+            Write::Found(founders) => {
+                disk.founders = Some(founders);
+                agreeing.part.founded();
+            }
+            Write::Keep(work) => {
+                if let Some((from, _)) = work.log.first() {
+                    disk.log.split_off(from);
+                }
+                disk.log.extend(work.log);
+                disk.vote = work.vote.or(disk.vote.take());
+                agreeing.part.kept();
+            }
+        }
+        self.carry_out(process);
+    }
+
+    /// Does what a process's part wants done; messages go out with the fleet's orders.
+    pub(super) fn take_part(&mut self, process: usize) {
+        loop {
+            let Some(Some(of)) = self.processes.get_mut(process) else { return };
+            let Some(agreeing) = &mut of.agreeing else { return };
+            while let Some((from, bytes)) = of.fleet.beside() {
+                agreeing.part.message(&from, &bytes);
+            }
+            agreeing.part.due(self.now, of.fleet.id().incarnation);
+            let Some(order) = agreeing.part.order() else { return };
+            match order {
+                Order::Send(to, bytes) => drop(of.fleet.send_beside(&to, &bytes)),
+                Order::Drain(_) => {
+                    self.speak(process, Ready::Draining);
+                    self.drains += 1;
+                    let out =
+                        self.processes.iter().flatten().filter(|of| of.ready == Ready::Draining).count();
+                    self.most_drained = self.most_drained.max(out);
+                    self.most_out = self.most_out.max(out + self.long_dead());
+                }
+                Order::Found(founders) => self.write(process, Write::Found(founders)),
+                Order::Keep(work) => self.write(process, Write::Keep(work)),
+            }
+        }
+    }
+
+    fn write(&mut self, process: usize, write: Write) {
+        let takes = self.rng.random_range(DISK_MS);
+        self.due(self.now + takes, Due::Written(process, write));
+    }
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,7 +1,7 @@
 //! What operators call: one HTTP/1.1 call a connection, as a state machine that is fed bytes (RFC 9112).
 
 use crate::broker::{ClassCounts, Figures};
-use hopmoor_agree::{Asking, Most, Permit, Scope, Voter};
+use hopmoor_agree::{Most, Part, Permit, Scope};
 use hopmoor_fleet::{self as fleet, View};
 use httparse::Status;
 use serde_json::{Value, json};
@@ -123,11 +123,12 @@
 }
 
 /// What a node knows of what is agreed, as JSON. What stands in the log only a voter knows.
-pub fn permits(name: &str, asking: &Asking, voter: Option<&Voter>, silent: Option<&str>) -> Vec<u8> {
+pub fn permits(name: &str, part: &Part) -> Vec<u8> {
     let mut body = json!({
-        "node": name, "asks": asking.told(), "permit": asking.fence(), "votes": voter.is_some(), "silent": silent,
+        "node": name, "asks": part.asking().told(), "permit": part.asking().fence(), "votes": part.voter().is_some(),
+        "silent": part.silent(),
     });
-    if let Some(voter) = voter {
+    if let Some(voter) = part.voter() {
         let state = voter.state();
         let budget = |(scope, most): (&Scope, Most)| {
             let most = match most {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 pub mod admin;
+pub mod agreed;
 mod api;
 pub mod broker;
 pub mod config;
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -187,6 +187,8 @@
     let id = Id::new(name, incarnation, config.advertise.unwrap_or(address));
     info!(node.log, "in a fleet"; "address" => %address, "advertise" => %id.address, "as" => incarnation);
     let setup = Setup { id, seeds: config.seeds.clone(), keys, seed };
+    let agree = config.agree.as_ref().map(|config| agree::Agree::new(config, name, &node.log));
+    let agree = agree.transpose()?.map(Rc::new);
     let link = Rc::new(Link {
         fleet: RefCell::new(Fleet::new(now, setup, said.clone())),
         udp: Rc::downgrade(&udp),
@@ -199,12 +201,11 @@
         closed: Cell::new(false),
         refused: Cell::default(),
         sharing: Cell::new(None),
-        agree: config.agree.clone().map(|config| Rc::new(agree::Agree::new(config))),
+        agree,
     });
     *node.fleet.borrow_mut() = Some(link.clone());
     if let Some(agree) = &link.agree {
-        let task = agree::run(node.clone(), link.clone(), agree.clone(), name.to_owned());
-        tokio::task::spawn_local(task);
+        tokio::task::spawn_local(agree::run(node.clone(), link.clone(), agree.clone()));
     }
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
