Take a grant only for the coming it was given to, and tell a drain at once

An answer now names the coming it is for, and a node takes only its own (asking.rs); one whose request is over asks anew. By the same reasoning the driver says that it drains at once, not at its next look up to 200 ms later: a later coming that still said 'serving' would have ended a permit in use.

--- a/crates/agree/src/asking.rs
+++ b/crates/agree/src/asking.rs
@@ -56,8 +56,9 @@
         self.asks.as_ref()?.fence
     }
 
-    /// A voter has answered. True if the node is to drain now: only on a grant of what it asks at this moment.
-    pub fn answered(&mut self, request: Request, answer: Answer) -> bool {
+    /// A voter has answered. True if the node is to drain now: only on a grant of what it asks at this moment, to this coming
+    /// of it. One to an earlier coming is over as soon as this one is seen serving, and may be told late all the same.
+    pub fn answered(&mut self, request: Request, answer: Answer, incarnation: u64) -> bool {
         if answer == Answer::Over {
             self.backs.retain(|back| *back != request);
         }
@@ -65,13 +66,13 @@
             return false;
         };
         let begins = match answer {
-            Answer::Granted(fence) if standing.fence.is_none() => {
+            Answer::Granted { fence, incarnation: to } if standing.fence.is_none() && to == incarnation => {
                 standing.fence = Some(fence);
                 true
             }
-            // Another's word, or an operator's: it is not to drain. One that drains already finishes.
+            // Of an earlier coming: it asks anew. One that drains already finishes.
             Answer::Over if standing.fence.is_none() => {
-                self.asks = None;
+                *standing = Standing { request: request.wrapping_add(1), last: None, fence: None };
                 return false;
             }
             _ => false,
@@ -103,17 +104,28 @@
         asking.ask(1);
         assert_eq!(asking.due(1_000, "n", 5), [Entry::Ask { request: 1, node: "n".into(), incarnation: 5 }]);
         assert!(asking.due(1_010, "n", 5).is_empty());
-        assert!(!asking.answered(1, Answer::Waiting("full".into())));
+        assert!(!asking.answered(1, Answer::Waiting("full".into()), 5));
         assert_eq!(asking.told().unwrap(), "waiting: full");
         // Withdrawn; the grant comes late, and doubled.
         asking.give_back();
-        assert!(!asking.answered(1, Answer::Granted(7)));
+        assert!(!asking.answered(1, Answer::Granted { fence: 7, incarnation: 5 }, 5));
         assert_eq!(asking.due(2_000, "n", 5), [Entry::Back(1)]);
         asking.ask(2);
-        assert!(!asking.answered(1, Answer::Granted(7)));
-        assert!(!asking.answered(1, Answer::Over));
-        assert!(asking.answered(2, Answer::Granted(9)));
-        assert!(!asking.answered(2, Answer::Granted(9)));
+        assert!(!asking.answered(1, Answer::Granted { fence: 7, incarnation: 5 }, 5));
+        assert!(!asking.answered(1, Answer::Over, 5));
+        assert!(asking.answered(2, Answer::Granted { fence: 9, incarnation: 5 }, 5));
+        assert!(!asking.answered(2, Answer::Granted { fence: 9, incarnation: 5 }, 5));
         assert_eq!((asking.fence(), asking.due(3_000, "n", 5)), (Some(9), vec![]));
     }
+
+    #[test]
+    fn a_grant_to_an_earlier_coming_is_none() {
+        let mut asking = Asking::default();
+        asking.ask(1);
+        assert!(!asking.answered(1, Answer::Granted { fence: 7, incarnation: 5 }, 6));
+        // That one is over, and it asks anew.
+        assert!(!asking.answered(1, Answer::Over, 6));
+        assert_eq!(asking.due(1_000, "n", 6), [Entry::Ask { request: 2, node: "n".into(), incarnation: 6 }]);
+        assert!(asking.answered(2, Answer::Granted { fence: 8, incarnation: 6 }, 6));
+    }
 }
--- a/crates/agree/src/part.rs
+++ b/crates/agree/src/part.rs
@@ -42,6 +42,8 @@
     me: String,
     voters: Vec<String>,
     seed: u64,
+    /// The node's coming now.
+    incarnation: u64,
     log: slog::Logger,
     asking: Asking,
     voter: Option<Voter>,
@@ -64,6 +66,7 @@
             me: me.to_owned(),
             voters: voters.to_vec(),
             seed,
+            incarnation: 0,
             log,
             asking: Asking::default(),
             voter: None,
@@ -178,8 +181,9 @@
         }
     }
 
-    /// Asks and gives back what is due, as this coming of the node.
+    /// Asks and gives back what is due, as this coming of the node. To be called before messages are taken.
     pub fn due(&mut self, now: u64, incarnation: u64) {
+        self.incarnation = incarnation;
         for entry in self.asking.due(now, &self.me, incarnation) {
             let to = self.voters.get(self.turn % self.voters.len().max(1)).cloned();
             self.turn = self.turn.wrapping_add(1);
@@ -206,7 +210,7 @@
             }
             Message::Propose(entry) => self.proposed(from, entry),
             Message::Answer(request, answer) if of_voter => {
-                if self.asking.answered(request, answer)
+                if self.asking.answered(request, answer, self.incarnation)
                     && let Some(fence) = self.asking.fence()
                 {
                     self.orders.push_back(Order::Drain(fence));
@@ -348,7 +352,8 @@
         let granted: Vec<Permit> = voter.state().permits().iter().filter(granted).cloned().collect();
         for permit in granted {
             if let Some(fence) = permit.fence {
-                self.send(&permit.node, &Message::Answer(permit.request, Answer::Granted(fence)));
+                let granted = Answer::Granted { fence, incarnation: permit.incarnation };
+                self.send(&permit.node, &Message::Answer(permit.request, granted));
             }
         }
     }
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -20,8 +20,13 @@
     Unknown,
     /// It waits, because of this.
     Waiting(String),
-    /// Granted, under this number; a later grant has a larger one.
-    Granted(u64),
+    /// Granted.
+    Granted {
+        /// Its number; a later grant has a larger one.
+        fence: u64,
+        /// To this coming of the node and no other: once a later one is seen serving it is over.
+        incarnation: u64,
+    },
     /// Given back, withdrawn, or of an earlier coming of its node.
     Over,
     /// There is no room for it.
@@ -205,7 +210,9 @@
             return Answer::Over;
         }
         match self.asks.iter().find(|ask| ask.request == request) {
-            Some(Permit { fence: Some(fence), .. }) => Answer::Granted(*fence),
+            Some(Permit { fence: Some(fence), incarnation, .. }) => {
+                Answer::Granted { fence: *fence, incarnation: *incarnation }
+            }
             Some(ask) => Answer::Waiting(self.against(ask).unwrap_or_default()),
             None if self.asks.len() >= ASKS => Answer::Refused(format!("{ASKS} requests stand already")),
             None => Answer::Unknown,
@@ -282,7 +289,7 @@
         assert_eq!(state.apply(2, ask("n0", 10)), [Change::Granted { node: "n0".into(), fence: 2 }]);
         assert_eq!(state.apply(3, ask("n1", 11)), []);
         state.apply(4, ask("n2", 12));
-        assert_eq!(state.answer(10), Answer::Granted(2));
+        assert_eq!(state.answer(10), Answer::Granted { fence: 2, incarnation: 1 });
         assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 permit 2".into()));
         // The same request twice is one.
         assert_eq!(state.apply(5, ask("n0", 10)), []);
@@ -310,7 +317,7 @@
         assert_eq!(state.answer(11), Answer::Waiting("fleet: 1 of 1 out: n0 not ready".into()));
         state.apply(7, Entry::Seen(vec![seen("n0", "a", 2, Standing::Serving)]));
         assert_eq!(state.answer(10), Answer::Over);
-        assert_eq!(state.answer(11), Answer::Granted(7));
+        assert_eq!(state.answer(11), Answer::Granted { fence: 7, incarnation: 1 });
         // What was seen earlier and comes late changes nothing.
         state.apply(8, Entry::Seen(vec![seen("n0", "a", 1, Standing::Dead)]));
         assert_eq!(state.out("n0"), None);
@@ -327,9 +334,12 @@
         // Another zone's goes ahead of it.
         state.apply(6, ask("n1", 11));
         state.apply(7, ask("n4", 12));
-        assert_eq!((state.answer(11), state.answer(12)), (Answer::Granted(6), Answer::Granted(7)));
+        assert_eq!(
+            (state.answer(11), state.answer(12)),
+            (Answer::Granted { fence: 6, incarnation: 1 }, Answer::Granted { fence: 7, incarnation: 1 })
+        );
         state.apply(8, Entry::Budget(Scope::Fleet, Most::Percent(5)));
-        assert_eq!(state.answer(11), Answer::Granted(6));
+        assert_eq!(state.answer(11), Answer::Granted { fence: 6, incarnation: 1 });
         state.apply(9, Entry::Back(11));
         let Answer::Waiting(why) = state.answer(10) else { panic!("granted") };
         assert_eq!(why, "fleet: 2 of 0 out: n3 dead, n4 permit 7");
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -365,7 +365,7 @@
         let follower = three.names.iter().find(|name| **name != leader).unwrap().clone();
         three.voters.get_mut(&follower).unwrap().propose(&ask("n1", 1));
         three.run(3);
-        assert!(three.voters.values().all(|voter| matches!(voter.state().answer(1), Answer::Granted(_))));
+        assert!(three.voters.values().all(|voter| matches!(voter.state().answer(1), Answer::Granted { .. })));
         // The leader is cut off; what it is asked does not come into the log, whatever it believes.
         three.cut = vec![leader.clone()];
         let alone = three.voters.get_mut(&leader).unwrap();
--- a/crates/world/src/fleet/agree.rs
+++ b/crates/world/src/fleet/agree.rs
@@ -189,10 +189,10 @@
         loop {
             let Some(Some(of)) = self.processes.get_mut(process) else { return };
             let Some(agreeing) = &mut of.agreeing else { return };
+            agreeing.part.due(self.now, of.fleet.id().incarnation);
             while let Some((from, bytes)) = of.fleet.beside() {
                 agreeing.part.message(&from, &bytes);
             }
-            agreeing.part.due(self.now, of.fleet.id().incarnation);
             let Some(order) = agreeing.part.order() else { return };
             match order {
                 Order::Send(to, bytes) => drop(of.fleet.send_beside(&to, &bytes)),
--- a/crates/world/tests/agree.rs
+++ b/crates/world/tests/agree.rs
@@ -9,7 +9,8 @@
 fn drawn_faults_never_have_more_out_than_the_budget() {
     let kinds: Vec<String> = KINDS.iter().map(|kind| (*kind).to_owned()).collect();
     let mut used = 0;
-    for seed in 0..20 {
+    // The later ones once showed a grant to an earlier coming of a node, told late.
+    for seed in (0..15).chain([673, 953, 957, 2815, 5105, 5798]) {
         let schedule = Schedule::drawn(seed, 12, 60.0, &kinds).unwrap();
         let schedule = Schedule { voters: 5, ..schedule };
         let shown = drains(&schedule, 2);
--- a/src/net/agree.rs
+++ b/src/net/agree.rs
@@ -104,6 +104,7 @@
             () = agree.wake.notified() => false,
         };
         let now = node.clock.now() as u64;
+        part.borrow_mut().due(now, link.id().incarnation);
         while let Some((from, bytes)) = link.beside() {
             part.borrow_mut().message(&from, &bytes);
         }
@@ -115,7 +116,6 @@
             let seen = agreed::seen(&link.view(&node));
             part.borrow_mut().sees(&seen);
         }
-        part.borrow_mut().due(now, link.id().incarnation);
         carry_out(&node, &link, &agree, folder.as_ref()).await;
         tell(&node, &agree);
     }
@@ -151,6 +151,8 @@
             (Order::Send(to, bytes), _) => link.send_beside(&to, &bytes),
             (Order::Drain(permit), _) => {
                 let done = node.with(|broker, now| broker.drain(now));
+                // Said at once: a later coming that is believed to serve would end the permit.
+                super::fleet::speak(node, link);
                 info!(node.log, "drains by a permit"; "permit" => permit, "done" => done);
             }
             (Order::Found(founders), Some(folder)) => {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -339,7 +339,7 @@
 }
 
 /// Says what has changed of this node.
-fn speak(node: &Rc<Node>, link: &Link) {
+pub(super) fn speak(node: &Rc<Node>, link: &Link) {
     let ready = match node.broker.borrow().standing_by() {
         Ok(()) => Ready::Serving,
         Err(Unready::Draining) => Ready::Draining,
--- a/tests/agree.rs
+++ b/tests/agree.rs
@@ -92,3 +92,23 @@
     assert!(!drained(&history, 22.2, 30.0).contains(&4), "{:?}", history.drained());
     assert_eq!(drained(&history, 15.0, 18.0).len(), 1, "{:?}", history.drained());
 }
+
+/// The voters are killed in turn, whoever leads among them, while seven ask at once and each is back after a while.
+#[test]
+fn seven_that_ask_at_once_go_one_by_one_while_leaders_are_killed() {
+    let mut steps = r#"{"at":6,"fault":"drain","nodes":"all","on":true}"#.to_owned();
+    let mut kills = vec![(8.2, "kill", 0), (11.2, "start", 0), (15.2, "kill", 1), (18.2, "start", 1)];
+    for n in 0..18 {
+        let at = 7.5 + f64::from(n) * 1.5;
+        while let Some((when, fault, node)) = kills.first().copied().filter(|kill| kill.0 < at) {
+            steps += &format!(r#",{{"at":{when},"fault":"{fault}","nodes":{{"only":[{node}]}}}}"#);
+            kills.remove(0);
+        }
+        steps += &format!(r#",{{"at":{at},"fault":"back"}}"#);
+    }
+    let history = run(7, 3, 36.0, &steps);
+    assert_eq!(history.most_drained().0, 1, "{:?}", history.drained());
+    // Those that were killed may have lost their turn; the rest had theirs.
+    let had = drained(&history, 6.0, 36.0);
+    assert!([2, 3, 4, 5, 6].iter().all(|node| had.contains(node)), "{:?}", history.drained());
+}
