--- a/crates/ops/src/fleet.rs
+++ b/crates/ops/src/fleet.rs
@@ -1,6 +1,7 @@
 //! `fleet status`, `fleet compare` and `fleet keygen`.
 
 use crate::Failed;
+use crate::agree::Agree;
 use hopmoor_seal::{KEY_BYTES, Keys};
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,6 +41,9 @@
     },
     /// Write a file of keys to standard output, or the next step of a rotation.
     Keygen(Keygen),
+    /// Drains that the fleet agrees on.
+    #[command(flatten)]
+    Agree(Agree),
 }
 
 /// Arguments of `fleet keygen`.
@@ -118,27 +122,36 @@
             Fleet::Status { admin, json } => status(admin, json),
             Fleet::Compare { admins, json } => compare(&admins, json),
             Fleet::Keygen(keygen) => keygen.run(),
+            Fleet::Agree(agree) => agree.run(),
         }
     }
 }
 
 fn ask(admin: SocketAddr) -> Result<String, Failed> {
+    match call(admin, "GET", "/-/fleet")? {
+        (200, body) => Ok(body),
+        (404, _) => {
+            Err(Failed(format!("{admin}: this node is in no fleet: fleet is not set in its operator's file")))
+        }
+        (_, body) => Err(Failed(format!("{admin}: {}", body.trim()))),
+    }
+}
+
+/// One call to a node: status and body.
+pub(crate) fn call(admin: SocketAddr, method: &str, place: &str) -> Result<(u16, String), Failed> {
     let about = |what: &dyn std::fmt::Display| Failed(format!("{admin}: {what}"));
     let asked = || {
         let mut stream = TcpStream::connect_timeout(&admin, WAIT)?;
         stream.set_read_timeout(Some(WAIT))?;
-        stream.write_all(b"GET /-/fleet HTTP/1.1\r\nHost: node\r\n\r\n")?;
+        stream.write_all(format!("{method} {place} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes())?;
         let mut answer = String::new();
         stream.read_to_string(&mut answer)?;
         std::io::Result::Ok(answer)
     };
     let answer = asked().map_err(|error| about(&error))?;
     let (head, body) = answer.split_once("\r\n\r\n").ok_or_else(|| about(&"not an HTTP answer"))?;
-    match head.split(' ').nth(1) {
-        Some("200") => Ok(body.to_owned()),
-        Some("404") => Err(about(&"this node is in no fleet: fleet is not set in its operator's file")),
-        _ => Err(about(&body.trim())),
-    }
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    Ok((status.ok_or_else(|| about(&"not an HTTP answer"))?, body.to_owned()))
 }
 
 fn view(admin: SocketAddr) -> Result<View, Failed> {
@@ -197,7 +210,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn table<const N: usize>(rows: &[[String; N]]) -> String {
+pub(crate) fn table<const N: usize>(rows: &[[String; N]]) -> String {
     let mut text = String::new();
     let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max().unwrap_or(0);
     let widths: Vec<usize> = (0..N).map(width).collect();
--- a/crates/ops/src/main.rs
+++ b/crates/ops/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' program: what the nodes' records hold, as a check, a table, a report or a console; and what running
 //! nodes know of their fleet.
 
+mod agree;
 mod console;
 mod demo;
 mod fleet;
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -4,6 +4,7 @@
 use hopmoor_agree::{Most, Part, Permit, Scope};
 use hopmoor_fleet::{self as fleet, View};
 use httparse::Status;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use std::fmt::Write;
 
@@ -12,7 +13,7 @@
 const FIELDS: usize = 64;
 
 /// What an operator wants.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ask {
     /// Whether this process would serve a new client now.
     Ready,
@@ -26,6 +27,8 @@
     Fleet,
     /// What the fleet has agreed on.
     Permits,
+    /// How many may be out from now on.
+    Budget(Scope, Most),
 }
 
 /// Each place with the one method it takes.
@@ -45,6 +48,8 @@
     Unreadable,
     /// Nothing is at that place.
     Unknown,
+    /// What follows the place can't be read.
+    Query(&'static str),
     /// The place takes another method.
     Method(&'static str),
     /// The head did not come in time.
@@ -79,9 +84,36 @@
 }
 
 fn ask(method: &str, path: &str) -> Result<Ask, Refused> {
-    let path = path.split('?').next().unwrap_or_default();
+    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    if path == BUDGET {
+        return if method == "PUT" { budget(query) } else { Err(Refused::Method("PUT")) };
+    }
     let (_, takes, ask) = PLACES.iter().find(|(place, ..)| *place == path).ok_or(Refused::Unknown)?;
-    if *takes == method { Ok(*ask) } else { Err(Refused::Method(takes)) }
+    if *takes == method { Ok(ask.clone()) } else { Err(Refused::Method(takes)) }
+}
+
+/// `PUT /-/budget?most=2`, `?most=25%25`, `?most=1&zone=a`: how many nodes may be out at once.
+const BUDGET: &str = "/-/budget";
+
+fn budget(query: &str) -> Result<Ask, Refused> {
+    let (mut scope, mut most) = (Scope::Fleet, None);
+    for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        let value = percent_decode_str(value).decode_utf8().map_err(|_| Refused::Query("not UTF-8"))?;
+        match key {
+            "zone" => scope = Scope::Zone(value.into_owned()),
+            "most" => {
+                let share =
+                    value.strip_suffix('%').map(|share| share.parse().ok().filter(|share| *share <= 100));
+                most = match share {
+                    Some(share) => share.map(Most::Percent),
+                    None => value.parse().ok().map(Most::Number),
+                };
+            }
+            _ => return Err(Refused::Query("known are 'most' and 'zone'")),
+        }
+    }
+    let most = most.ok_or(Refused::Query("'most' is a number, or a share as in 25%"))?;
+    Ok(Ask::Budget(scope, most))
 }
 
 /// A whole answer in plain text, after which the connection ends.
@@ -113,7 +145,12 @@
 pub fn refusal(why: Refused) -> Vec<u8> {
     match why {
         Refused::Unreadable => answer(400, "", "not a readable HTTP/1.1 call\n"),
-        Refused::Unknown => answer(404, "", "known are /-/ready, /-/metrics, /-/drain and /-/resume\n"),
+        Refused::Unknown => answer(
+            404,
+            "",
+            "known are /-/ready, /-/metrics, /-/drain, /-/resume, and in a fleet /-/fleet, /-/permits and /-/budget\n",
+        ),
+        Refused::Query(what) => answer(400, "", &format!("{what}\n")),
         Refused::Method(takes) => {
             answer(405, &format!("Allow: {takes}\r\n"), "another method is taken here\n")
         }
@@ -231,6 +268,12 @@
         }
         assert_eq!(whole(b"GET /-/reddy HTTP/1.1\r\n\r\n"), Some(Err(Refused::Unknown)));
         assert_eq!(whole(b"GET /-/ready?a=1 HTTP/1.0\r\n\r\n"), Some(Ok(Ask::Ready)));
+        let budget = whole(b"PUT /-/budget?most=25%25&zone=a%20b HTTP/1.1\r\n\r\n");
+        assert_eq!(budget, Some(Ok(Ask::Budget(Scope::Zone("a b".into()), Most::Percent(25)))));
+        for bad in ["most=101%25", "most=-1", "zone=a", "most=1&pool=x", "most=%ff"] {
+            let call = format!("PUT /-/budget?{bad} HTTP/1.1\r\n\r\n");
+            assert!(matches!(whole(call.as_bytes()), Some(Err(Refused::Query(_)))), "{bad}");
+        }
         assert_eq!(whole(b"\x16\x03\x01\x00\r\n\r\n"), Some(Err(Refused::Unreadable)));
         assert_eq!(whole(b"GET /-/ready HTTP/1.1\r\nHost"), None);
         let long = format!("GET /-/ready HTTP/1.1\r\nX: {}", "a".repeat(HEAD));
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -121,6 +121,10 @@
             Some((link, agree)) => agree.permits(&link.id().name),
             None => admin::refusal(Refused::Unknown),
         },
+        Ask::Budget(scope, most) => match agreement(node) {
+            Some((_, agree)) => agree.set_budget(scope, most),
+            None => admin::refusal(Refused::Unknown),
+        },
         Ask::Drain => {
             match agreement(node) {
                 Some((_, agree)) => return agree.drain(node),
--- a/src/net/agree.rs
+++ b/src/net/agree.rs
@@ -8,7 +8,7 @@
 use crate::broker::Unready;
 use crate::config;
 use hopmoor_agree::voter::TICK_MS;
-use hopmoor_agree::{Note, Order, Part};
+use hopmoor_agree::{Entry, Most, Note, Order, Part, Scope};
 use hopmoor_vote::Folder;
 use slog::{Drain, info, warn};
 use std::cell::RefCell;
@@ -73,6 +73,16 @@
         self.wake.notify_one();
     }
 
+    /// An operator sets a budget: it stands once it is in the log.
+    pub(super) fn set_budget(&self, scope: Scope, most: Most) -> Vec<u8> {
+        let asked = self.part.borrow_mut().set_budget(&Entry::Budget(scope, most));
+        self.wake.notify_one();
+        match asked {
+            true => admin::answer(202, "", "asked; /-/permits shows it once it is agreed\n"),
+            false => admin::answer(503, "", "this node does not vote: ask a voter\n"),
+        }
+    }
+
     pub(super) fn permits(&self, name: &str) -> Vec<u8> {
         admin::permits(name, &self.part.borrow())
     }
--- a/tests/fleet_node.rs
+++ b/tests/fleet_node.rs
@@ -210,3 +210,43 @@
     assert_eq!(lines, 1);
     assert!(within(5.0, || is(&admin, "b", "alive") && is(&other, "a", "alive")));
 }
+
+/// One voter alone: budgets and permits as operators meet them, and what is agreed outlives a killed process.
+#[test]
+fn a_drain_waits_for_its_budget_and_what_is_agreed_is_on_disk() {
+    let (site, folder) = (site(&[77]), Folder::new());
+    let operator = folder.operator("a", &site.discovery.address(), free_port(), &[]);
+    let mut file: Value = serde_json::from_slice(&std::fs::read(&operator).unwrap()).unwrap();
+    file["fleet"]["agree"] = json!({"voters": ["a"], "folder": "votes"});
+    std::fs::write(&operator, file.to_string()).unwrap();
+    let put = |admin: &str, place: &str| call(admin, "PUT", place);
+    let permits =
+        |admin: &str| -> Value { serde_json::from_str(&call(admin, "GET", "/-/permits").1).unwrap() };
+    let (node, admin) = start_in(&operator, None);
+    assert!(within(10.0, || permits(&admin)["leader"] == "a"), "{}", permits(&admin));
+    assert_eq!(put(&admin, "/-/budget?most=0").0, 202);
+    assert_eq!(put(&admin, "/-/budget?most=many").0, 400);
+    assert!(within(5.0, || permits(&admin)["budgets"][0]["most"] == "0"), "{}", permits(&admin));
+    assert_eq!(put(&admin, "/-/drain").0, 202);
+    let waits = "waiting: fleet: 0 of 0 out\n";
+    assert!(
+        within(5.0, || put(&admin, "/-/drain") == (202, waits.to_owned())),
+        "{:?}",
+        put(&admin, "/-/drain")
+    );
+    assert_eq!(call(&admin, "GET", "/-/ready").0, 200);
+    node.signal("-KILL");
+    drop(node);
+    let (_node, admin) = start_in(&operator, None);
+    assert!(within(10.0, || permits(&admin)["leader"] == "a"), "{}", permits(&admin));
+    // The budget stands; the ask of the process that is no more does not, once this one is seen serving.
+    assert_eq!(permits(&admin)["budgets"][0]["most"], "0");
+    assert!(within(5.0, || permits(&admin)["permits"] == json!([])), "{}", permits(&admin));
+    put(&admin, "/-/budget?most=100%25");
+    assert!(within(5.0, || put(&admin, "/-/drain").0 == 200), "{:?}", put(&admin, "/-/drain"));
+    assert_eq!(call(&admin, "GET", "/-/ready").1.trim_end(), "not ready: draining");
+    assert!(permits(&admin)["permits"][0]["permit"].as_u64().is_some());
+    assert_eq!(put(&admin, "/-/resume").0, 200);
+    assert!(within(5.0, || permits(&admin)["permits"] == json!([])), "{}", permits(&admin));
+    assert_eq!(call(&admin, "GET", "/-/ready").0, 200);
+}
