--- a/crates/world/tests/agree.rs
+++ b/crates/world/tests/agree.rs
@@ -31,3 +31,46 @@
     let shown = drains(&Schedule::read(&text).unwrap(), 1);
     assert_eq!((shown.drained, shown.used), (1, 12), "{shown:?}");
 }
+
+fn played(nodes: usize, voters: usize, seconds: f64, steps: &str) -> hopmoor_world::fleet::Drains {
+    let text = format!(
+        r#"{{"nodes":{nodes},"zones":3,"voters":{voters},"seconds":{seconds},"seed":4,"steps":[{steps}]}}"#
+    );
+    drains(&Schedule::read(&text).unwrap(), 1)
+}
+
+/// With a budget of one and one dead, nobody is granted anything, until that one is back.
+#[test]
+fn who_is_dead_counts() {
+    let steps = r#"{"at":6,"fault":"kill","nodes":{"only":[7]}},
+        {"at":12,"fault":"drain","nodes":{"only":[5,6]},"on":true}"#;
+    assert_eq!(played(8, 3, 40.0, steps).used, 0);
+    let back = format!(r#"{steps},{{"at":30,"fault":"start","nodes":{{"only":[7]}}}}"#);
+    assert_eq!(played(8, 3, 40.0, &back).used, 1);
+}
+
+/// One that drains and is cut off is held dead by the rest; it drains all the same, and nobody else does.
+#[test]
+fn who_drains_and_is_held_dead_counts() {
+    let steps = r#"{"at":6,"fault":"drain","nodes":{"only":[7]},"on":true},
+        {"at":8,"fault":"link","from":{"only":[7]},"to":{"but":[7]},"both":true,"how":{"cut":true},"seconds":12},
+        {"at":12,"fault":"drain","nodes":{"only":[5]},"on":true}"#;
+    let shown = played(8, 3, 40.0, steps);
+    assert_eq!((shown.drained, shown.used), (1, 1), "{shown:?}");
+}
+
+/// Each voter is cut off alone and asks: whoever leads grants itself nothing, since nobody else has it in the log.
+#[test]
+fn a_leader_that_is_cut_off_grants_nothing() {
+    let mut steps = Vec::new();
+    for voter in 0..3 {
+        let at = 10 + voter * 15;
+        steps.push(format!(
+            r#"{{"at":{at},"fault":"link","from":{{"only":[{voter}]}},"to":{{"but":[{voter}]}},"both":true,"how":{{"cut":true}},"seconds":6}},
+            {{"at":{at}.3,"fault":"drain","nodes":{{"only":[{voter}]}},"on":true}},
+            {{"at":{},"fault":"drain","nodes":{{"only":[{voter}]}},"on":false}}"#,
+            at + 5
+        ));
+    }
+    assert_eq!(played(6, 3, 60.0, &steps.join(",")).used, 0);
+}
