Believe a leave at once, and take up nothing that an earlier coming asked

An ask of an earlier coming that comes late is over at once: nothing would have ended a permit given to it (state.rs). A leader takes 256 KiB at most before a majority has it; 32 requests at most wait to be given back.

--- a/crates/agree/src/asking.rs
+++ b/crates/agree/src/asking.rs
@@ -7,6 +7,9 @@
 /// Between two tries, each at another voter: several times what an agreed entry takes.
 const AGAIN_MS: u64 = 150;
 
+/// Requests that are still to be given back, at most: one asked and withdrawn over and over while no voter answers.
+const BACKS: usize = 32;
+
 #[derive(Debug)]
 struct Standing {
     request: Request,
@@ -26,7 +29,7 @@
 impl Asking {
     /// Asks under this new number, unless it asks or holds already.
     pub fn ask(&mut self, request: Request) {
-        if self.asks.is_none() {
+        if self.asks.is_none() && self.backs.len() < BACKS {
             self.asks = Some(Standing { request, last: None, fence: None });
             self.due = 0;
         }
@@ -42,7 +45,10 @@
 
     /// What it has been told; none: it asks for nothing. A last answer that has not come is said.
     pub fn told(&self) -> Option<String> {
-        let standing = self.asks.as_ref()?;
+        let Some(standing) = &self.asks else {
+            return (self.backs.len() >= BACKS)
+                .then(|| format!("waiting: {BACKS} are still to be given back"));
+        };
         Some(match (&standing.fence, &standing.last) {
             (Some(fence), _) => format!("permit {fence}"),
             (None, Some(Answer::Waiting(why))) => format!("waiting: {why}"),
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -126,7 +126,11 @@
 
     fn ask(&mut self, request: Request, node: String, incarnation: u64) {
         let known = self.asks.iter().any(|ask| ask.request == request) || self.over.contains(&request);
-        if !known && self.asks.len() < ASKS {
+        // Nobody would use what is granted to an earlier coming, and nothing would end it: this one is seen already.
+        let earlier = self.nodes.get(&node).is_some_and(|seen| seen.incarnation > incarnation);
+        if earlier && !known {
+            self.remember([request]);
+        } else if !known && self.asks.len() < ASKS {
             self.asks.push(Permit { request, node, incarnation, fence: None });
         }
     }
@@ -137,13 +141,17 @@
         let mut over: Vec<Request> = ended.iter().map(|ask| ask.request).collect();
         // One that is given back before it is known: its ask may still come.
         over.extend(request.filter(|request| !over.contains(request) && !self.over.contains(request)));
+        self.remember(over);
+        changes.extend(
+            ended.into_iter().map(|ask| Change::Ended { node: ask.node, granted: ask.fence.is_some() }),
+        );
+    }
+
+    fn remember(&mut self, over: impl IntoIterator<Item = Request>) {
         self.over.extend(over);
         while self.over.len() > OVER {
             self.over.pop_front();
         }
-        changes.extend(
-            ended.into_iter().map(|ask| Change::Ended { node: ask.node, granted: ask.fence.is_some() }),
-        );
     }
 
     /// Grants what fits, in the order it was asked.
@@ -318,6 +326,9 @@
         state.apply(7, Entry::Seen(vec![seen("n0", "a", 2, Standing::Serving)]));
         assert_eq!(state.answer(10), Answer::Over);
         assert_eq!(state.answer(11), Answer::Granted { fence: 7, incarnation: 1 });
+        // Nor is what an earlier coming asked, and comes late, taken up.
+        state.apply(8, ask("n0", 12));
+        assert_eq!(state.answer(12), Answer::Over);
         // What was seen earlier and comes late changes nothing.
         state.apply(8, Entry::Seen(vec![seen("n0", "a", 1, Standing::Dead)]));
         assert_eq!(state.out("n0"), None);
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -18,6 +18,9 @@
 const ELECTION: usize = 20;
 /// Bytes of entries in one message: with its head it fits one datagram of the fleet.
 const BYTES: u64 = 700;
+/// Bytes that a leader takes before a majority has them; more are passed over and asked for again. Guards the memory of one that is
+/// asked by many while it hears nobody.
+const UNCOMMITTED: u64 = 256 * 1024;
 /// Bytes of one proposal, at most, for the same reason.
 pub const PROPOSAL: usize = 600;
 /// Nodes in one entry: with the longest names and zones they are within [`PROPOSAL`].
@@ -127,6 +130,7 @@
             heartbeat_tick: HEARTBEAT,
             max_size_per_msg: BYTES,
             max_inflight_msgs: 64,
+            max_uncommitted_size: UNCOMMITTED,
             check_quorum: true,
             pre_vote: true,
             ..Config::default()
--- a/crates/fleet/src/hearsay.rs
+++ b/crates/fleet/src/hearsay.rs
@@ -42,8 +42,11 @@
                 .peers
                 .get(&member.id().name)
                 .is_some_and(|peer| now.saturating_sub(peer.heard) < HEARD_MS);
+            // One that goes says so itself: that is no death.
+            let goes = *member.id() == header.src
+                || self.words.borrow().of(member.id()).is_some_and(|word| word.tells_left());
             let member = match member.state() {
-                State::Down if lives && (new || heard) => {
+                State::Down if lives && !goes && (new || heard) => {
                     changed = true;
                     Member::new(member.id().clone(), member.incarnation(), State::Suspect)
                 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -374,6 +374,11 @@
         true
     }
 
+    /// Whether something of another matter waits to be taken.
+    pub fn has_beside(&self) -> bool {
+        !self.beside.is_empty()
+    }
+
     /// What another node has sent of another matter: who, and what.
     pub fn beside(&mut self) -> Option<(Name, Vec<u8>)> {
         self.beside.pop_front()
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -148,7 +148,7 @@
         Refused::Unknown => answer(
             404,
             "",
-            "known are /-/ready, /-/metrics, /-/drain, /-/resume, and in a fleet /-/fleet, /-/permits and /-/budget\n",
+            "known are /-/ready, /-/metrics, /-/drain, /-/resume; in a fleet /-/fleet, /-/permits, /-/budget\n",
         ),
         Refused::Query(what) => answer(400, "", &format!("{what}\n")),
         Refused::Method(takes) => {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -241,7 +241,8 @@
             link.fleet.borrow_mut().tick(now);
         }
         match &link.agree {
-            Some(agree) => agree.wake(),
+            Some(agree) if link.fleet.borrow().has_beside() => agree.wake(),
+            Some(_) => {}
             None => while link.beside().is_some() {},
         }
         // Clients come in their turn, however many datagrams wait.
