Refuse a folder of another voter, of other voters, or one put back from an older copy

Read in the diff: Part::opened took any folder, so that a copied one voted twice in a term; voters set otherwise at one node counted another majority; a heartbeat that agrees on more than the folder holds makes raft panic (commit_to). All three stop the voter now and say why (crates/agree part.rs, voter.rs). The log's nodes and budgets are bounded, as are zones in /-/budget.

--- a/crates/agree/src/asking.rs
+++ b/crates/agree/src/asking.rs
@@ -11,7 +11,7 @@
 const BACKS: usize = 32;
 
 #[derive(Debug)]
-struct Standing {
+struct Asked {
     request: Request,
     last: Option<Answer>,
     fence: Option<u64>,
@@ -20,7 +20,7 @@
 /// What a node asks and holds.
 #[derive(Debug, Default)]
 pub struct Asking {
-    asks: Option<Standing>,
+    asks: Option<Asked>,
     /// What it gives back, until it is known that the log has it.
     backs: Vec<Request>,
     due: u64,
@@ -30,7 +30,7 @@
     /// Asks under this new number, unless it asks or holds already.
     pub fn ask(&mut self, request: Request) {
         if self.asks.is_none() && self.backs.len() < BACKS {
-            self.asks = Some(Standing { request, last: None, fence: None });
+            self.asks = Some(Asked { request, last: None, fence: None });
             self.due = 0;
         }
     }
@@ -78,7 +78,7 @@
             }
             // Of an earlier coming: it asks anew. One that drains already finishes.
             Answer::Over if standing.fence.is_none() => {
-                *standing = Standing { request: request.wrapping_add(1), last: None, fence: None };
+                *standing = Asked { request: request.wrapping_add(1), last: None, fence: None };
                 return false;
             }
             _ => false,
--- a/crates/agree/src/part.rs
+++ b/crates/agree/src/part.rs
@@ -89,9 +89,11 @@
     /// Its folder is open, with what was in it; none: it is empty.
     pub fn opened(&mut self, found: Option<(Vec<u8>, Kept)>) {
         match found {
-            Some((founders, kept)) => match Message::read(&founders) {
-                Some(Message::Hail(Hail::Founded(founders))) => self.begin(founders, kept),
-                _ => self.stop("the folder does not say who founded the log"),
+            Some((founded, kept)) => match postcard::from_bytes::<(String, Founders)>(&founded) {
+                // Two that vote from one folder's copies would vote twice.
+                Ok((whose, _)) if whose != self.me => self.stop(&format!("the folder is {whose}'s")),
+                Ok((_, founders)) => self.begin(founders, kept),
+                Err(_) => self.stop("the folder does not say who founded the log"),
             },
             None => self.founding = Some(Founding::new(&self.me, &self.voters, self.seed)),
         }
@@ -109,6 +111,13 @@
     }
 
     fn begin(&mut self, founders: Founders, kept: Kept) {
+        // Voters that count different majorities would agree on different things.
+        if founders.len() != self.voters.len() || self.voters.iter().any(|name| !founders.contains_key(name))
+        {
+            let names: Vec<&str> = founders.keys().map(String::as_str).collect();
+            return self
+                .stop(&format!("fleet.agree.voters are not those that founded: {}", names.join(", ")));
+        }
         match Voter::new(&self.me, &self.voters, kept, self.seed, &self.log) {
             Ok(voter) => {
                 self.silent = None;
@@ -204,8 +213,8 @@
         let of_voter = self.voters.iter().any(|voter| voter == from);
         match message {
             Message::Log(bytes) if of_voter => {
-                if let Some(voter) = &mut self.voter {
-                    voter.message(from, &bytes);
+                if let Some(Err(error)) = self.voter.as_mut().map(|voter| voter.message(from, &bytes)) {
+                    self.stop(&error.to_string());
                 }
             }
             Message::Propose(entry) => self.proposed(from, entry),
@@ -239,9 +248,9 @@
             Outcome::Founds(founders) => {
                 self.founding = None;
                 self.busy = true;
-                match Message::Hail(Hail::Founded(founders.clone())).write() {
-                    Some(bytes) => self.orders.push_back(Order::Found(bytes)),
-                    None => self.stop("who founds can't be written"),
+                match postcard::to_stdvec(&(&self.me, &founders)) {
+                    Ok(bytes) => self.orders.push_back(Order::Found(bytes)),
+                    Err(_) => self.stop("who founds can't be written"),
                 }
                 self.founders = Some(founders);
             }
@@ -358,3 +367,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_folder_of_another_or_of_other_voters_does_not_vote() {
+        let voters: Vec<String> = ["a", "b", "c"].map(str::to_owned).into();
+        let opened = |whose: &str, by: [&str; 3]| {
+            let quiet = slog::Logger::root(slog::Discard, slog::o!());
+            let mut part = Part::new("a", &voters, 1, quiet);
+            let founders: Founders = by.map(|name| (name.to_owned(), 1)).into();
+            part.opened(Some((postcard::to_stdvec(&(whose, founders)).unwrap(), Kept::default())));
+            (part.voter().is_some(), part.silent().map(str::to_owned))
+        };
+        assert_eq!(opened("a", ["a", "b", "c"]), (true, None));
+        assert_eq!(opened("b", ["a", "b", "c"]), (false, Some("the folder is b's".into())));
+        let (votes, why) = opened("a", ["a", "b", "d"]);
+        assert!(!votes && why.unwrap().contains("a, b, d"));
+    }
+}
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -10,6 +10,10 @@
 const OVER: usize = 4_096;
 /// Asks that stand at once; more are refused. Guards against a node that asks without end.
 const ASKS: usize = 4_096;
+/// Nodes that the log knows, at most: as many as a view does. Guards against one that makes up names.
+const NODES: usize = 4_096;
+/// Budgets, at most: of the fleet, and of as many zones as anybody tells apart.
+const BUDGETS: usize = 256;
 /// Names in a reason: it goes in one datagram.
 const NAMED: usize = 8;
 
@@ -102,7 +106,9 @@
         let mut changes = Vec::new();
         match entry {
             Entry::Budget(scope, most) => {
-                self.budgets.insert(scope, most);
+                if self.budgets.len() < BUDGETS || self.budgets.contains_key(&scope) {
+                    self.budgets.insert(scope, most);
+                }
             }
             Entry::Seen(nodes) => nodes.into_iter().for_each(|node| self.see(node, &mut changes)),
             Entry::Ask { request, node, incarnation } => self.ask(request, node, incarnation),
@@ -121,7 +127,9 @@
             // Its earlier comings are no more, and with them what they asked. Only this frees the permit of a dead node.
             self.end(|ask| ask.node == name && ask.incarnation < incarnation, None, changes);
         }
-        self.nodes.insert(name, Node { zone, incarnation, standing });
+        if self.nodes.len() < NODES || self.nodes.contains_key(&name) {
+            self.nodes.insert(name, Node { zone, incarnation, standing });
+        }
     }
 
     fn ask(&mut self, request: Request, node: String, incarnation: u64) {
--- a/crates/agree/src/voter.rs
+++ b/crates/agree/src/voter.rs
@@ -4,7 +4,7 @@
 use crate::entry::{Entry, SeenNode};
 use crate::state::{Change, State};
 use protobuf::Message as _;
-use raft::eraftpb::{Entry as LogEntry, EntryType, HardState, Message};
+use raft::eraftpb::{Entry as LogEntry, EntryType, HardState, Message, MessageType};
 use raft::storage::MemStorage;
 use raft::{Config, RawNode, StateRole};
 use std::collections::BTreeMap;
@@ -157,14 +157,27 @@
     }
 
     /// Takes a message of another voter. One under another's name is passed over.
-    pub fn message(&mut self, from: &str, bytes: &[u8]) {
+    ///
+    /// # Errors
+    /// The voter stops: others count on a log that it has no more.
+    pub fn message(&mut self, from: &str, bytes: &[u8]) -> Result<(), Stopped> {
         if let Ok(message) = Message::parse_from_bytes(bytes)
             && message.from == number(from)
             && self.names.contains_key(&message.from)
+            // Nobody here sends one: the log is not cut.
+            && message.get_msg_type() != MessageType::MsgSnapshot
         {
+            // raft ends the process over this. A folder put back from a copy does it, and may have voted since.
+            if message.get_msg_type() == MessageType::MsgHeartbeat
+                && message.term >= self.term()
+                && message.commit > self.raft.raft.raft_log.last_index()
+            {
+                return Err(Stopped("its log ends before what it had told others that it has".into()));
+            }
             // Errors tell of messages that come at a wrong time: raft passes them over.
             let _ = self.raft.step(message);
         }
+        Ok(())
     }
 
     /// Asks for an entry to be in the log. Whether it comes is seen only there.
@@ -284,6 +297,7 @@
         voters: BTreeMap<String, Voter>,
         disks: BTreeMap<String, Disk>,
         cut: Vec<String>,
+        stopped: Vec<String>,
         names: Vec<String>,
     }
 
@@ -298,6 +312,7 @@
                 voters: BTreeMap::new(),
                 disks: BTreeMap::new(),
                 cut: Vec::new(),
+                stopped: Vec::new(),
                 names: names.clone(),
             };
             names.iter().for_each(|name| three.start(name));
@@ -336,8 +351,9 @@
                     for (from, to, bytes) in sent {
                         if self.cut.contains(&from) == self.cut.contains(&to)
                             && let Some(voter) = self.voters.get_mut(&to)
+                            && voter.message(&from, &bytes).is_err()
                         {
-                            voter.message(&from, &bytes);
+                            self.stopped.push(to);
                         }
                     }
                 }
@@ -404,4 +420,23 @@
         let kept = Kept { vote, log: log.into_values().collect() };
         assert!(Voter::new("a", &three.names, kept, 1, &quiet()).is_err());
     }
+
+    /// A folder put back from an older copy: its voter has told more than it has.
+    #[test]
+    fn a_voter_whose_folder_went_back_in_time_stops() {
+        let mut three = Three::new();
+        three.run(100);
+        let leader = three.leader().expect("a leader");
+        let other = three.names.iter().find(|name| **name != leader).unwrap().clone();
+        let old = three.disks[&other].clone();
+        three.voters.get_mut(&leader).unwrap().sees(&[serving("n1")]);
+        three.run(3);
+        three.voters.get_mut(&leader).unwrap().propose(&ask("n1", 1));
+        three.run(3);
+        assert!(three.stopped.is_empty());
+        three.disks.insert(other.clone(), old);
+        three.start(&other);
+        three.run(20);
+        assert!(three.stopped.contains(&other));
+    }
 }
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -94,12 +94,17 @@
 
 /// `PUT /-/budget?most=2`, `?most=25%25`, `?most=1&zone=a`: how many nodes may be out at once.
 const BUDGET: &str = "/-/budget";
+/// As in the operator's file.
+const ZONE_BYTES: usize = 64;
 
 fn budget(query: &str) -> Result<Ask, Refused> {
     let (mut scope, mut most) = (Scope::Fleet, None);
     for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
         let value = percent_decode_str(value).decode_utf8().map_err(|_| Refused::Query("not UTF-8"))?;
         match key {
+            "zone" if value.is_empty() || value.len() > ZONE_BYTES => {
+                return Err(Refused::Query("a zone has 1 to 64 bytes"));
+            }
             "zone" => scope = Scope::Zone(value.into_owned()),
             "most" => {
                 let share =
@@ -270,7 +275,7 @@
         assert_eq!(whole(b"GET /-/ready?a=1 HTTP/1.0\r\n\r\n"), Some(Ok(Ask::Ready)));
         let budget = whole(b"PUT /-/budget?most=25%25&zone=a%20b HTTP/1.1\r\n\r\n");
         assert_eq!(budget, Some(Ok(Ask::Budget(Scope::Zone("a b".into()), Most::Percent(25)))));
-        for bad in ["most=101%25", "most=-1", "zone=a", "most=1&pool=x", "most=%ff"] {
+        for bad in ["most=101%25", "most=-1", "zone=a", "most=1&zone=", "most=1&pool=x", "most=%ff"] {
             let call = format!("PUT /-/budget?{bad} HTTP/1.1\r\n\r\n");
             assert!(matches!(whole(call.as_bytes()), Some(Err(Refused::Query(_)))), "{bad}");
         }
--- a/tests/fleet_node.rs
+++ b/tests/fleet_node.rs
@@ -9,6 +9,7 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -40,9 +41,16 @@
     }
 }
 
-/// A port that is free for both just now, by asking the system for one.
+/// A port that is free for both, and that the system gives to nobody who asks for any: those of other tests beside this one
+/// come from 32768 on, and one that was asked for and let go again was taken by them before the node had it.
 fn free_port() -> u16 {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let from = std::process::id() as u16 % 8_000;
+    let free = |port: &u16| {
+        UdpSocket::bind(("127.0.0.1", *port)).is_ok() && TcpListener::bind(("127.0.0.1", *port)).is_ok()
+    };
+    let ports = std::iter::repeat_with(|| 20_000 + (from + NEXT.fetch_add(1, Ordering::Relaxed)) % 8_000);
+    ports.take(8_000).find(free).expect("a free port")
 }
 
 fn start_in(operator: &PathBuf, passed: Option<&TcpListener>) -> (Node, String) {
