Move unit tests into files of their own, as they are

Need: tests live in test files, never inline.

Change: each `mod tests { ... }` at the end of a source file stands in tests.rs beside it; nothing else.

--- a/crates/ops/src/report.rs
+++ b/crates/ops/src/report.rs
@@ -493,44 +493,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use hopmoor_incident::Span;
-
-    #[test]
-    fn names_from_outside_do_nothing_in_the_page() {
-        let name = "<script>alert(1)</script>\"'&";
-        let span = Span { state: State::Silent, from: 1e12, until: None, evidence: 3 };
-        let incident = Incident {
-            number: 1,
-            kind: IncidentKind::Member(State::Silent),
-            subject: name.into(),
-            from: 1e12,
-            until: None,
-            cause: format!("member {name} answered nothing"),
-            lost: 1.0,
-            share: 0.5,
-            by_class: vec![],
-        };
-        let findings = Findings {
-            from: 1e12,
-            until: 1e12 + 1e5,
-            members: vec![Member { name: name.into(), spans: vec![span], ..Member::default() }],
-            classes: vec![Account { name: name.into(), asked: 1.0, lost: 0.5, ..Account::default() }],
-            tenants: vec![Account { name: name.into(), asked: 1.0, lost: 0.5, ..Account::default() }],
-            nodes: vec![hopmoor_incident::Node { name: name.into(), ..Default::default() }],
-            incidents: vec![incident],
-            ..Findings::default()
-        };
-        let page = written(&findings);
-        assert!(!page.contains("<script") && !page.contains("alert(1)</") && page.contains("&lt;script&gt;"));
-        // Quotes end no attribute.
-        assert!(!page.contains("&quot;'&amp;\" href") && !page.contains("m-<"));
-    }
-
-    #[test]
-    fn nothing_found_is_a_page_as_well() {
-        let page = written(&Findings::default());
-        assert!(page.contains("Incident report") && page.contains("</html>"));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/broker/delay/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+#[test]
+fn slow_messages_are_told_once_a_second_and_once_more_when_over() {
+    let mut delays = Delays::new(true, 60.0);
+    let m = BackendId(1);
+    assert_eq!(delays.measured(0.0, m, 19.0), None);
+    assert_eq!(delays.measured(10.0, m, 21.0), Some(21.0));
+    assert_eq!(delays.measured(900.0, m, 30.0), None);
+    assert_eq!(delays.measured(1_010.0, m, 30.0), Some(30.0));
+    assert_eq!(delays.measured(1_020.0, m, 2.0), Some(2.0));
+    assert_eq!(delays.measured(1_030.0, m, 2.0), None);
+    assert_eq!(Delays::new(false, 60.0).measured(0.0, m, 500.0), None);
+}
+
+#[test]
+fn calm_members_are_asked_half_as_often() {
+    let mut delays = Delays::new(true, 60.0);
+    let (calm, slow) = (BackendId(1), BackendId(2));
+    assert!(delays.asks(0.0, calm));
+    delays.reported(0.0, calm, 9.0);
+    delays.reported(0.0, slow, 11.0);
+    assert!(!delays.asks(200.0, slow) && delays.asks(1_000.0, slow));
+    assert!(!delays.asks(1_000.0, calm) && delays.asks(2_000.0, calm));
+}
+
+/// Guards against quick echoes that hide what the member itself says of its delay.
+#[test]
+fn a_quick_reply_does_not_undo_a_slow_report() {
+    let mut delays = Delays::new(true, 50.0);
+    let m = BackendId(1);
+    assert_eq!(delays.reported(0.0, m, 183.0), Some(183.0));
+    assert_eq!(delays.measured(100.0, m, 0.05), None);
+    assert_eq!(delays.measured(1_100.0, m, 0.05), Some(183.0));
+    assert_eq!(delays.measured(5_100.0, m, 0.05), Some(0.05), "a report does not stand for ever");
+    assert_eq!(delays.reported(5_200.0, m, 183.0), Some(183.0));
+    assert_eq!(delays.reported(5_300.0, m, 1.0), Some(1.0));
+}
