--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -153,7 +153,7 @@
             tape: Tape::default(),
         };
         broker.list(now, known, ListScope::Stale);
-        if broker.delays.wanted() {
+        if broker.delays.wanted() && site.settings.probing {
             broker.timers.set(now, Due::Measure);
         }
         broker
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -21,6 +21,7 @@
     let settings = Settings {
         classes: vec![class],
         tells_delay: true,
+        probing: true,
         cancel: true,
         most_tries: 6,
         max_retry_after_ms: 1_000.0,
@@ -313,6 +314,20 @@
     assert_eq!(probes(&bench), 2);
 }
 
+/// Guards against probes where the settings allow none: each was a connection that members answered `NO`.
+#[test]
+fn nobody_is_asked_where_probes_are_not_allowed() {
+    let mut site = site();
+    site.settings.probing = false;
+    let broker = Broker::new(0.0, &site, 7, list(true, vec![member("a", Phase::Serving)]));
+    let mut bench = Bench { broker, now: 0.0, seen: Vec::new() };
+    let id = bench.open(ask());
+    bench.hear(id, Said::Connected);
+    bench.hear(id, Said::Up);
+    bench.run(20_000.0);
+    assert!(!bench.seen.iter().any(|(_, order)| matches!(order, Order::Probe { .. })));
+}
+
 /// The module gives an attempt a part of the client's time while there is another member to try.
 #[test]
 fn a_negotiation_that_the_client_has_heard_of_gets_all_its_time() {
