Count load hints against the usual one, as capacity is counted in connections

Cause: capacity starts at twice the tenants' shares, counted in connections (quota_part; listed and learn in src/logic.rs), while each open connection counts by its hint, work in a unit of its own: budgets were some thousandth of the load they were held against. Ruled out: reports and probes (none on either), weights (rough on one, none on the other), the number of attempts.

Change: a hint counts in usual ones: divided by the mean hint of the last 200 requests or so (Balancer::in_usual, src/state.rs).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -262,7 +262,7 @@
     }
 
     fn enter(&mut self, now: Millis, request: Request, deadline: Millis) {
-        let class = self.settings.class(request.class);
+        let (class, request) = (self.settings.class(request.class), self.in_usual(request));
         let share = self.tenants.entry(request.tenant).or_default();
         (share.seen, share.contract) = (now, self.settings.contract(request.tenant));
         share.priority = share.contract.map_or(share.priority.max(class.worth), |contract| contract.priority);
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,9 @@
 pub const TIMER_DISCOVERY: u64 = 2;
 pub const TIMER_REQUESTS: u64 = 16;
 
+/// The usual load hint is learned from so many: later ones then count for less.
+const HINTS_MOST: f64 = 200.0;
+
 /// What one tenant asks, has and may have.
 #[derive(Default)]
 pub struct Share {
@@ -124,6 +127,9 @@
     pub(crate) entries: BTreeMap<RequestId, Entry>,
     /// Usual work of a connection, by class, as notes tell it.
     pub(crate) class_work: Vec<f64>,
+    /// The usual load hint, and from how many it is learned.
+    pub(crate) usual_hint: f64,
+    pub(crate) hints: f64,
     /// Mean load over capacity that reports tell.
     pub(crate) mean_load: Option<f64>,
     /// Part of the capacity heard from that shows no trouble.
@@ -234,6 +240,16 @@
         same.count().max(1) as f64
     }
 
+    /// The request with its load hint in usual ones, as capacity is counted: hints come in units of their own.
+    pub(crate) fn in_usual(&mut self, mut request: Request) -> Request {
+        if let Some(hint) = request.load_hint.filter(|hint| hint.is_finite() && *hint > 0.0) {
+            self.hints = (self.hints + 1.0).min(HINTS_MOST);
+            self.usual_hint += (hint - self.usual_hint) / self.hints;
+            request.load_hint = Some(hint / self.usual_hint);
+        }
+        request
+    }
+
     /// Brings forward the deadlines of those who wait.
     pub(crate) fn hasten(&mut self, by: Millis, out: &mut Out) {
         for (id, entry) in self.entries.iter_mut().filter(|(_, e)| e.state < State::Open && e.deadline > by) {
