Hear at once that a request is written, so that none is sent on to a second member

Seen: tests/records.rs failed on every run: 'member s-2 broke off or could not be reached, for 1.5 s (seen 8 times)' of a member that took its requests and was silent.

Cause: drive (src/net/session.rs) told the front that its first line was written, and then waited for the next event before it took the front's steps: the broker heard of it only with the member's next byte. Since an unwritten flow counts as unreachable (flow_due) and ends when its member drains (end_beginnings, both src/broker/flows.rs), a request in the hands of a silent or draining member was sent on to another, also of a class that may not be repeated.

Change: the steps are taken at once.

Result: two tests in tests/crossings.rs, led peers, a single-shot class and a silent or draining member: both 'it went to the other as well' without the change; tests/records.rs passes again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,7 +65,7 @@
 const PROBE_SPEND: f64 = 0.005;
 const PROBES_MOST: f64 = 5.0;
 
-/// First pause after a failed discovery call, doubled by each further one, and the most: what changes counts as
+/// First pause after a failed discovery call, doubled by each further one, and the most: changes count as
 /// told 6 s on. A watch may have broken for all: they ask anew as spread out as at the start.
 const ASK_BACKOFF_MS: Millis = 1_000.0;
 const ASK_MOST_MS: Millis = 2_000.0;
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -186,6 +186,8 @@
             if front.to_server().is_empty() && (waited || !*told) {
                 *told = true;
                 front.take(node.clock.now(), Input::ServerWritten);
+                // The broker hears of it now, not with the next byte: a silent member's may never come.
+                continue;
             }
             if *end && front.to_server().is_empty() {
                 *end = false;
--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -131,25 +131,23 @@
     /// Waits for the next connection.
     pub fn flow(&self) -> BufReader<TcpStream> {
         let began = Instant::now();
-        self.listener.set_nonblocking(true).unwrap();
         loop {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(false).unwrap();
-                    stream.set_nodelay(true).unwrap();
-                    stream.set_read_timeout(Some(LONG)).unwrap();
-                    return BufReader::new(stream);
-                }
-                Err(_) => thread::sleep(Duration::from_millis(1)),
+            if let Some(flow) = self.waiting() {
+                return flow;
             }
+            thread::sleep(Duration::from_millis(1));
             assert!(began.elapsed() < LONG, "no flow came");
         }
     }
 
-    /// Whether a connection waits to be taken.
-    pub fn is_called(&self) -> bool {
+    /// A connection that waits to be taken.
+    pub fn waiting(&self) -> Option<BufReader<TcpStream>> {
         self.listener.set_nonblocking(true).unwrap();
-        self.listener.accept().is_ok()
+        let (stream, _) = self.listener.accept().ok()?;
+        stream.set_nonblocking(false).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Some(BufReader::new(stream))
     }
 }
 
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -6,8 +6,9 @@
 mod script;
 
 use process::*;
-use script::{Desk, Diary, list};
-use std::io::Write;
+use script::{Desk, Diary, Member, list};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -96,6 +97,65 @@
     assert!(most < Duration::from_millis(100), "{late:?}");
 }
 
+// ---- A time-out, a drain ----
+
+/// A request of a class that may not be repeated, in the hands of one of two members, which answers nothing.
+struct Taken {
+    node: Node,
+    desk: Desk,
+    members: [Member; 2],
+    client: BufReader<TcpStream>,
+    by: usize,
+    _flow: BufReader<TcpStream>,
+}
+
+fn taken() -> Taken {
+    let (mut desk, members) = (Desk::new(), [Member::new(), Member::new()]);
+    let node =
+        launch(&config(&desk.address).replace(r#""effect":"free""#, r#""effect":"single_shot""#), |_| ());
+    desk.begin(&[("s-0", &members[0].address, "Ready"), ("s-1", &members[1].address, "Ready")]);
+    let mut client = node.connect();
+    client.get_mut().write_all(OPEN.replace("d=5000", "d=2000").as_bytes()).unwrap();
+    let mut first = None;
+    assert!(within(5.0, || {
+        first = (0..2).find_map(|at| Some((at, members[at].waiting()?)));
+        first.is_some()
+    }));
+    let (by, mut flow) = first.unwrap();
+    let mut line = String::new();
+    flow.read_line(&mut line).unwrap();
+    assert!(line.starts_with("OPEN 1 "), "{line}");
+    Taken { node, desk, members, client, by, _flow: flow }
+}
+
+impl Taken {
+    /// It has failed, and nobody else was sent it.
+    fn fails(mut self) {
+        let mut answer = String::new();
+        self.client.read_line(&mut answer).unwrap();
+        assert!(answer.starts_with("ERR"), "{answer}");
+        assert!(self.members[1 - self.by].waiting().is_none(), "it went to the other as well");
+        assert_eq!(counter(&self.node, "flows"), 1);
+    }
+}
+
+/// Guards against a node that hears of what it has written only with the next byte: a member that takes a request and
+/// answers nothing passed for one that could not be reached, and the request ran twice.
+#[test]
+fn what_a_silent_member_has_taken_is_not_sent_on_to_another() {
+    taken().fails();
+}
+
+/// The same where the member is told to drain with the request in its hands: that flow goes on.
+#[test]
+fn what_a_draining_member_has_taken_is_not_sent_on_to_another() {
+    let mut taken = taken();
+    let name = format!("s-{}", taken.by);
+    taken.desk.answer(&list(2, false, &[(&name, &taken.members[taken.by].address, "Terminating")]));
+    assert!(taken.desk.call().contains("since=2"));
+    taken.fails();
+}
+
 // ---- A watch dies ----
 
 /// The node calls anew; says how long after. The last good list stands, and the change that was missed is heard.
