--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -311,6 +311,9 @@
             return;
         }
         self.hear(node, id, Said::Connected);
+        if outcome != Some(Outcome::Unreachable) {
+            self.hear(node, id, Said::Sent);
+        }
         match (outcome, member) {
             (Some(Outcome::Ok), Some(member)) => {
                 self.settle(client);
--- a/crates/world/src/nodes.rs
+++ b/crates/world/src/nodes.rs
@@ -178,6 +178,7 @@
             self.set(now + wait + crowd, Due::Answer { node, run, id, flow, outcome });
         } else {
             self.hear(node, id, Said::Connected);
+            self.hear(node, id, Said::Sent);
         }
     }
 }
