Wait in line for the first call at a new address, so that drains are heard in time

Cause: watch::calls waited for the first call at a new address for 1.2 s only (late, src/net/watch.rs), though discovery keeps calls in line for 2 s and serves those given up as well: three calls, then more, each given up before its turn. Ruled out: the old address (that call ends with its connection), pauses (100 ms), the module (not asked while the address is new).

Change: the first call waits for 2.6 s there too, as that of any watch; a connect alone for 1.2 s.

Result: a test in tests/crossings.rs, seen to fail before ('it called once more').

--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -20,7 +20,8 @@
 const LATE: Duration = Duration::from_millis(1_200);
 /// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
 /// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
-/// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer.
+/// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
+/// address, where all nodes call at once as well.
 const LATE_IN_LINE: Duration = Duration::from_millis(2_600);
 /// A new address may not answer yet: it is called again after a pause, until so long after it was named.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -73,7 +74,7 @@
         } else {
             since(&authority, node.broker.borrow().pool_seq(), wait)
         };
-        let late = if first && fresh.is_none() { LATE_IN_LINE } else { LATE };
+        let late = if first { LATE_IN_LINE } else { LATE };
         let limit = Duration::from_millis(wait) + late;
         let reply = match tokio::time::timeout(limit, call(&mut stream, address, request)).await {
             Ok(Ok(reply)) => reply,
@@ -105,7 +106,7 @@
 
 async fn call(stream: &mut Option<TcpStream>, address: SocketAddr, request: String) -> io::Result<Reply> {
     if stream.is_none() {
-        let connected = TcpStream::connect(address).await?;
+        let connected = tokio::time::timeout(LATE, TcpStream::connect(address)).await??;
         let _ = connected.set_nodelay(true);
         *stream = Some(connected);
     }
--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Whether another connection waits beside the open one.
+    pub fn is_called(&self) -> bool {
+        self.listener.set_nonblocking(true).unwrap();
+        self.listener.accept().is_ok()
+    }
+
     /// Writes bytes as they are.
     pub fn write(&mut self, bytes: &str) {
         self.open.as_mut().unwrap().get_mut().write_all(bytes.as_bytes()).unwrap();
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -268,3 +268,19 @@
     assert!(desk.call().contains("since=3"));
     assert_eq!(talk(&mut node.connect(), OPEN), "UP 7\r\n");
 }
+
+/// After SIGHUP the new address keeps the first call in line for 1.8 s, among those of all other nodes. Guards against a node
+/// that gives it up before its turn and calls again, for nobody, again and again: members drained meanwhile unheard.
+#[test]
+fn the_first_call_at_a_new_address_is_waited_for_in_line() {
+    let (mut desk, mut other, member) = (Desk::new(), Desk::new(), Diary::new());
+    let node = start_with(&desk.address);
+    desk.begin(&[("s-1", "127.0.0.1:9", "Ready")]);
+    std::fs::write(&node.file, config(&other.address)).unwrap();
+    node.signal("-HUP");
+    assert!(!other.call().contains("since"));
+    assert!(!within(1.8, || other.is_called()), "it called once more");
+    other.answer(&list(5, true, &[("s-1", &member.address, "Ready")]));
+    assert!(other.call().contains("since=5"));
+    assert_eq!(talk(&mut node.connect(), OPEN), "UP 7\r\n");
+}
