--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,8 @@
 /// First pause after failed connects or lost connections (it doubles), and after a refusal or an error.
 const AVOID_MS: Millis = 1_000.0;
 const FULL_PAUSE_MS: Millis = 200.0;
+/// Where the settings tell no rate, the placements in a span are so many at least: one is at hand.
+const LEAST_SENDS: f64 = 2.0;
 /// A request that so many backends answer with an error is itself at fault.
 const ERRORS_MOST: usize = 3;
 /// Part of the time left that one attempt may take, and the least such time.
@@ -355,16 +357,14 @@
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
         let kin = self.kin(entry.request.group);
-        // A cold backend's part of the usual intake: drawn for each request of a place, else for each span
-        // (any one meets two). What is over the usual comes to all gateways at once: it counts for less.
+        // A cold backend's part of the usual intake: drawn for each request of a place, else for each span.
         let (span, window) = (self.settings.fall_ms, self.window());
-        let (usual, recent) = (self.usual(span), self.recent.at(now, window) * span / window);
-        let comes = (span / window + recent) * (recent / usual.max(self.place_rate * span)).max(1.0);
+        let usual = self.settings.rate_part().map(|rate| rate * span);
+        let usual = usual.unwrap_or((self.intake * self.listed_weight * span).max(LEAST_SENDS));
+        let comes = (1.0 + self.recent.at(now, window)) * span / window;
         let comes = comes * self.same_group(entry.request.group).min(self.servers.len() as f64);
-        let allowed =
-            self.settings.overload_factor * usual / affinity.map_or(2.0 * self.listed_weight, |_| comes);
-        let turn = (now / span.max(1.0) + unit(self.salt)) as u64;
-        let drawn = affinity.map_or(0, |_| mix(id.0)) ^ self.salt ^ turn;
+        let allowed = self.settings.overload_factor * usual / affinity.map_or(self.listed_weight, |_| comes);
+        let drawn = affinity.map_or(0, |_| mix(id.0)) ^ self.salt ^ (now / span.max(1.0)) as u64;
         let mut first = f64::INFINITY;
         for careful in [true, false] {
             for (backend, server) in &mut self.servers {
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,8 +11,6 @@
 pub const TIMER_DISCOVERY: u64 = 2;
 pub const TIMER_REQUESTS: u64 = 16;
 
-/// Where the settings tell no rate, the placements in a span are so many at least: one is at hand.
-const LEAST_SENDS: f64 = 2.0;
 /// The usual load hint is learned from so many: later ones then count for less.
 const HINTS_MOST: f64 = 200.0;
 
@@ -242,12 +240,6 @@
         same.count().max(1) as f64
     }
 
-    /// Requests that usually come in a span, from the settings or as learned.
-    pub(crate) fn usual(&self, span: Millis) -> f64 {
-        let learned = (self.intake * self.listed_weight * span).max(LEAST_SENDS);
-        self.settings.rate_part().map_or(learned, |rate| rate * span)
-    }
-
     /// The request with its load hint in usual ones, as capacity is counted: hints come in units of their own.
     pub(crate) fn in_usual(&mut self, mut request: Request) -> Request {
         if let Some(hint) = request.load_hint.filter(|hint| hint.is_finite() && *hint > 0.0) {
