Log each attempt with its request's id, each list with its version, each move with its reason

Change: debug lines 'attempt' (transaction, id, member, number, time since the listed start) and 'list taken' (version, whole); 'client moved' gives its reason.

--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -31,9 +31,17 @@
         t.sent = now;
         t.member = Some(member);
         t.member_name.clone_from(&name);
+        let (attempt, transaction_name) = (t.flows, t.name.clone());
         self.counters.flows += 1;
-        self.timers.set(now + self.connect_ms, Due::Connect(id, t.flows));
-        self.timers.set(now + wait_ms, Due::Flow(id, t.flows));
+        self.log(LogLine::Attempt {
+            id,
+            name: transaction_name,
+            member: name.clone(),
+            attempt,
+            started_ago_ms: self.pool.started_at(member).map(|started| now - started),
+        });
+        self.timers.set(now + self.connect_ms, Due::Connect(id, attempt));
+        self.timers.set(now + wait_ms, Due::Flow(id, attempt));
         self.orders.push_back(Order::Front(id, Command::Open { dial, member: name, wait_ms }));
     }
 
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -272,6 +272,7 @@
     pub fn listed(&mut self, now: Millis, list: PoolList) -> Result<(), Unfit> {
         self.pool.fits(&list)?;
         self.counters.lists += 1;
+        self.log(LogLine::List { seq: list.seq, whole: list.whole });
         let scope = if list.whole { ListScope::Whole } else { ListScope::Patch };
         self.list(now, list, scope);
         self.set_ready();
--- a/src/broker/moves.rs
+++ b/src/broker/moves.rs
@@ -31,7 +31,7 @@
         self.tape.note(now, || {
             record::Moved { transaction: id.0, member: number(backend), reason, stood_ms }.into()
         });
-        self.log(LogLine::Moved(id, t.member_name.clone()));
+        self.log(LogLine::Moved(id, t.member_name.clone(), reason));
         self.orders.push_back(Order::Front(id, Command::Move));
         let (attempt, outcome) = (t.flows.saturating_sub(1), Outcome::Cancelled);
         self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: true, report: None });
--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -1,6 +1,6 @@
 //! The pool as the broker holds it: members by number, and whether one may be sent to.
 
-use crate::api::{BackendId, BackendInfo, Phase};
+use crate::api::{BackendId, BackendInfo, Millis, Phase};
 use crate::pool::{Member, PoolList, name_hash};
 use std::collections::BTreeMap;
 
@@ -128,6 +128,11 @@
         self.members.get(&id).map(|member| member.dial.clone())
     }
 
+    /// When a member last started, as listed; `None` if long ago.
+    pub(super) fn started_at(&self, id: BackendId) -> Option<Millis> {
+        self.members.get(&id).and_then(|member| member.born)
+    }
+
     pub(super) fn name(&self, id: BackendId) -> String {
         self.members.get(&id).map_or_else(|| format!("{:016x}", id.0), |member| member.name.clone())
     }
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -1,6 +1,7 @@
 //! What fronts and drivers say to the broker, and what it tells them to do.
 
 use crate::api::*;
+use hopmoor_record::Reason;
 
 /// Number of a transaction: one client connection's one request.
 pub type TransactionId = RequestId;
@@ -166,8 +167,28 @@
     Member(String, Phase),
     /// Messages at a member take long, or no longer do.
     Slow(String, Millis),
+    /// A list or a patch of it was taken from discovery.
+    List {
+        /// Its version.
+        seq: u64,
+        /// Whether it names all members.
+        whole: bool,
+    },
+    /// An attempt begins.
+    Attempt {
+        /// Whose.
+        id: TransactionId,
+        /// What the client calls its request.
+        name: Option<Box<str>>,
+        /// At which member.
+        member: String,
+        /// Its number, from 1.
+        attempt: u32,
+        /// Time since the member's listed start; `None` if that is long past.
+        started_ago_ms: Option<Millis>,
+    },
     /// A client was moved away from a member.
-    Moved(TransactionId, String),
+    Moved(TransactionId, String, Reason),
     /// A transaction was rejected or failed, after so many flows and so long.
     Unserved {
         /// Which.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -167,8 +167,14 @@
             LogLine::Slow(member, ms) => {
                 info!(self.log, "messages slow"; "member" => member, "took_ms" => ms.round())
             }
-            LogLine::Moved(id, member) => {
-                info!(self.log, "client moved"; "transaction" => id.0, "member" => member)
+            LogLine::List { seq, whole } => {
+                debug!(self.log, "list taken"; "version" => seq, "whole" => whole)
+            }
+            LogLine::Attempt { id, name, member, attempt, started_ago_ms } => debug!(self.log, "attempt";
+                "transaction" => id.0, "id" => name.as_deref().unwrap_or("-"), "member" => member,
+                "attempt" => attempt, "started_ago_ms" => started_ago_ms.map(f64::round)),
+            LogLine::Moved(id, member, reason) => {
+                info!(self.log, "client moved"; "transaction" => id.0, "member" => member, "reason" => ?reason)
             }
             LogLine::Unserved { id, class, tenant, answer, flows, waited_ms } => info!(self.log,
                 "transaction unserved"; "transaction" => id.0, "class" => class.0, "tenant" => tenant.0,
