--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A relay for tests: it feeds a balancer, keeps its timers and watches what it sends.
 #![allow(dead_code)]
+pub mod fleet;
 use hopmoor::*;
 use std::collections::BTreeMap;
 
