--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -34,9 +34,14 @@
 }
 
 impl Play {
+    /// Whether a gateway or member, by its number from 0, is in the first zone.
+    fn in_first_zone(self, number: u64) -> bool {
+        number.is_multiple_of(u64::from(self.zones))
+    }
+
     /// Whether a member, by its number from 0, has just started.
     fn is_cold(self, member: u64) -> bool {
-        if self.zones > 1 { member % u64::from(self.zones) == 0 } else { member < self.cold }
+        if self.zones > 1 { self.in_first_zone(member) } else { member < self.cold }
     }
 }
 
@@ -109,7 +114,7 @@
         if time >= begins && !listed {
             listed = true;
             for (at, gateway) in (0_u32..).zip(&mut fleet) {
-                if play.restarted && at % play.zones == 0 {
+                if play.restarted && play.in_first_zone(u64::from(at)) {
                     *gateway = Fast::new(settings(at), seed * 20_000 + u64::from(at));
                 }
                 gateway.give(begins, Event::Backends { scope: ListScope::Whole, entries: all(Some(begins)) });
@@ -119,7 +124,7 @@
             ends.peek().copied().filter(|e| (e.0.0 as f64) < time)
         {
             ends.pop();
-            if !(play.restarted && listed && node as u32 % play.zones == 0 && (end as f64) < begins) {
+            if !(play.restarted && listed && play.in_first_zone(node as u64) && (end as f64) < begins) {
                 fleet[node].end(end as f64, id, BackendId(to));
             }
         }
