Give a request one chance at a server in slow start, earned by time and not by arrivals

The estimate of what comes also began at nothing in a process started anew, and took first requests of a storm for usual ones. Ages were counted by the wall clock.

--- a/src/logic/discovery.rs
+++ b/src/logic/discovery.rs
@@ -13,7 +13,7 @@
         if scope != ListScope::Stale {
             (self.subscribed, self.ask_backoff) = (true, ASK_BACKOFF_MS);
         }
-        self.merge(scope, entries);
+        self.merge(now, scope, entries);
         self.weigh(now);
         let weight = self.usable_weight(now);
         if self.per_weight == 0.0 && weight > 0.0 {
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -92,7 +92,7 @@
     /// It answers. After an absence it may be a new process that the list has not named yet: it is cold.
     pub(super) fn alive(&mut self, now: Millis) {
         if self.absent >= 3 {
-            self.cold_from = now;
+            self.age.returned(now);
         }
         (self.fails, self.absent) = (0, 0);
     }
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -14,6 +14,7 @@
 pub use crate::state::Balancer;
 use crate::state::*;
 use discovery::ASK_BACKOFF_MS;
+pub(crate) use slow_start::SlowStart;
 
 /// Budgets, limits and weights are recomputed this often: short against the life of a connection.
 pub(super) const INTERVAL_MS: Millis = 500.0;
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -5,6 +5,7 @@
 use super::slow_start::warmth_at;
 use crate::api::*;
 use crate::state::*;
+use std::collections::BTreeSet;
 
 /// Most load over capacity that one connection is taken to bring.
 const UNIT_MOST: f64 = 0.1;
@@ -13,8 +14,6 @@
 const NEAR_TURNS: f64 = 8.0;
 /// A loaded backend keeps this part of its weight: so it still shows whether it has recovered.
 const LEAST_ROOM: f64 = 0.05;
-/// Where the settings tell no rate, the placements in a span are so many at least: one is at hand.
-const LEAST_SENDS: f64 = 2.0;
 /// Part of the time left that one attempt may take, and the least such time.
 const WAIT_PART: f64 = 0.4;
 const WAIT_LEAST_MS: Millis = 250.0;
@@ -33,7 +32,7 @@
                 (None, None) => 1.0,
             };
             let room = room.min(1.0 - server.peak);
-            let warmth = warmth_at(now - server.cold_from, &self.settings);
+            let warmth = warmth_at(server.age.at(now), &self.settings);
             server.capacity = server.size() * warmth;
             server.unit = (TARGET / (self.per_weight * server.capacity)).clamp(0.0, UNIT_MOST);
             let weight = (server.capacity * room.max(LEAST_ROOM)).max(1e-9);
@@ -49,48 +48,100 @@
     /// Weighted round robin by virtual time: the smallest turn is next and each turn lasts 1/weight. Among
     /// backends some turns early, those that hold some of the group come first; then the own zone, then the
     /// group's own place, the same at every gateway and in proportion to warm size.
+    ///
+    /// A backend in slow start gets the request only by the one chance that it has there; without it a warm one is chosen.
     pub(super) fn pick(&mut self, now: Millis, id: RequestId) -> Option<BackendId> {
         let entry = self.entries.get(&id)?;
-        let effect = self.settings.class(entry.request.class).effect;
         let by_key = if self.settings.mode == Mode::Pass { entry.request.key } else { None };
         let affinity = entry.request.group.or(by_key);
         let kin = self.kin(entry.request.group);
-        // A cold backend's part of the usual intake: drawn for each request of a place, else for each span.
-        let (span, window) = (self.settings.fall_ms, self.window());
-        let usual = self.settings.rate_part().map(|rate| rate * span);
-        let usual = usual.unwrap_or((self.intake * self.listed_weight * span).max(LEAST_SENDS));
-        let comes = (1.0 + self.recent.at(now, window)) * span / window;
-        let comes = comes * self.same_group(entry.request.group).min(self.servers.len() as f64);
-        let allowed = self.settings.overload_factor * usual / affinity.map_or(self.listed_weight, |_| comes);
-        let drawn = affinity.map_or(0, |_| mix(id.0)) ^ self.salt ^ (now / span.max(1.0)) as u64;
-        let mut first = f64::INFINITY;
+        // A group has no one place where none is warm: all of it would wait for one backend in slow start.
+        let spread = !self.any_warm(now);
+        let key = affinity.filter(|_| !spread).map_or(mix(self.salt ^ id.0), |key| key.0);
+        if entry.state == State::Held {
+            self.slow_start.came(key);
+        }
+        self.slow_start.begin_choice(now, self.settings.fall_ms);
+        let mut chance_left = true;
         for careful in [true, false] {
-            for (backend, server) in &mut self.servers {
-                server.ready = server.info.phase == Phase::Serving
-                    && (!careful || now >= server.avoid_until && !entry.tried.contains(backend))
-                    && may_send(entry, effect, now, Some(&server.info))
-                    && server.gate(now, &self.settings, allowed, affinity.is_some(), mix(drawn ^ backend.0));
-                if server.ready {
-                    first = first.min(server.turn.max(self.turn));
-                }
+            self.mark_ready(now, id, careful);
+            let cold = self.place_in_slow_start(now, key, &kin).filter(|_| std::mem::take(&mut chance_left));
+            if let Some(cold) = cold
+                && draw(&mut self.rng) < self.slow_start_chance(now, cold)
+            {
+                return Some(self.take_turn(cold));
             }
-            if first.is_finite() {
-                break;
+            self.leave_out_slow_start(now);
+            if let Some(backend) = self.next_ready(now, affinity.is_some(), key, &kin) {
+                return Some(self.take_turn(backend));
             }
         }
-        let ready = self.servers.iter_mut().filter(|(_, server)| server.ready);
-        let (&backend, server) = ready.min_by_key(|&(&backend, ref server)| {
-            let turn = server.turn.max(self.turn);
+        None
+    }
+
+    /// Marks the backends that the request may be sent to; `careful` leaves out those in a pause, and those tried.
+    fn mark_ready(&mut self, now: Millis, id: RequestId, careful: bool) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        let effect = self.settings.class(entry.request.class).effect;
+        for (backend, server) in &mut self.servers {
+            server.ready = server.info.phase == Phase::Serving
+                && (!careful || now >= server.avoid_until && !entry.tried.contains(backend))
+                && may_send(entry, effect, now, Some(&server.info));
+        }
+    }
+
+    /// The backend in slow start that is the request's place among those that are ready, if it has its place at one. What a node
+    /// prefers for the moment, by turns or load, must not lead there: the chance counts on places.
+    fn place_in_slow_start(&self, now: Millis, key: u64, kin: &BTreeSet<BackendId>) -> Option<BackendId> {
+        let ready = || self.servers.iter().filter(|(_, server)| server.ready);
+        if ready().any(|(id, server)| kin.contains(id) && !server.in_slow_start(now, &self.settings)) {
+            return None;
+        }
+        let far = |server: &Server| server.info.zone != self.settings.zone;
+        let place = ready().min_by_key(|(id, server)| (far(server), place(key ^ id.0, server.capacity)));
+        let (id, server) = place.filter(|(_, server)| server.in_slow_start(now, &self.settings))?;
+        server.told(now).is_none_or(|(load, _)| load.max(server.peak) < BUSY).then_some(*id)
+    }
+
+    /// The first of the backends that are ready.
+    fn next_ready(
+        &self,
+        now: Millis,
+        by_place: bool,
+        key: u64,
+        kin: &BTreeSet<BackendId>,
+    ) -> Option<BackendId> {
+        let ready = || self.servers.iter().filter(|(_, server)| server.ready);
+        let turn_of = |server: &Server| server.turn.max(self.turn);
+        let first = ready().map(|(_, server)| turn_of(server)).fold(f64::INFINITY, f64::min);
+        let next = ready().min_by_key(|&(&backend, server)| {
+            let turn = turn_of(server);
             let near = (turn - first) * server.weight < NEAR_TURNS
                 && server.told(now).is_none_or(|(x0, _)| x0.max(server.peak) < BUSY);
-            let place = affinity.map_or(0, |key| place(key.0 ^ backend.0, server.capacity));
+            let place = if by_place { place(key ^ backend.0, server.capacity) } else { 0 };
             let far = server.info.zone != self.settings.zone;
             (!near, near && !kin.contains(&backend), far, place, (turn * 1e6) as u64)
         })?;
+        Some(*next.0)
+    }
+
+    /// Counts the turn of the backend that is sent to, from the earliest among those that are ready.
+    fn take_turn(&mut self, backend: BackendId) -> BackendId {
+        let turns =
+            self.servers.values().filter(|server| server.ready).map(|server| server.turn.max(self.turn));
+        let first = turns.fold(f64::INFINITY, f64::min);
         self.turn = first;
-        server.turn = server.turn.max(first) + 1.0 / server.weight;
-        server.gate_ends = now + span / (allowed * server.capacity).max(1.0);
-        Some(backend)
+        if let Some(server) = self.servers.get_mut(&backend) {
+            server.turn = server.turn.max(first) + 1.0 / server.weight;
+        }
+        backend
+    }
+
+    /// The request has had its one chance: of the backends in slow start none is ready for it any more.
+    fn leave_out_slow_start(&mut self, now: Millis) {
+        for server in self.servers.values_mut() {
+            server.ready &= !server.in_slow_start(now, &self.settings);
+        }
     }
 
     pub(super) fn admit(&mut self, now: Millis, id: RequestId, out: &mut Out) {
@@ -101,7 +152,7 @@
         if spent || !may_send(entry, class.effect, now, None) {
             return self.finish(now, id, out);
         }
-        let (picked, window) = (self.pick(now, id), self.window());
+        let picked = self.pick(now, id);
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let Some(backend) = picked else {
             entry.state = State::Waiting;
@@ -110,7 +161,6 @@
         };
         (entry.state, entry.backend, entry.sent) = (State::Out, Some(backend), now);
         entry.tries += 1;
-        self.recent.add(now, window);
         entry.tried.push(backend);
         // One that takes work and answers nothing must not cost all the time that a client has, while there
         // is another to try.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a gateway keeps in mind: plain records and their bookkeeping. No decisions; those are in `logic.rs`.
 use crate::api::*;
+use crate::logic::SlowStart;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Where decisions are written.
@@ -55,11 +56,9 @@
     /// Failed connects among them.
     pub absent: u32,
     pub avoid_until: Millis,
-    pub cold_from: Millis,
+    pub age: Age,
     /// Listed weight times the part warmed up.
     pub capacity: f64,
-    /// When this gateway may send it the next by turn, while it is cold.
-    pub gate_ends: Millis,
     pub moved_at: Millis,
 }
 
@@ -93,20 +92,58 @@
     pub left: bool,
 }
 
-/// How often something happened in the last moments; older times count less and less.
-#[derive(Clone, Copy, Default)]
-pub struct Recent {
-    count: f64,
-    last: Millis,
+/// How old a backend is at least, counted without the wall clock: a process whose clock is off, or stepped while it runs, must
+/// not take one that has just started for warm. Lists give starts on discovery's clock; the latest start on a list was before that
+/// list was made, so that on the list's clock it is at least that late when it comes, and later by the time that passes here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Age {
+    /// Its listed start, on discovery's clock.
+    listed: Option<Millis>,
+    /// When it may have started at the latest, on this process's clock.
+    since: Millis,
 }
 
-impl Recent {
-    pub fn at(&self, now: Millis, span: Millis) -> f64 {
-        self.count * (-(now - self.last) / span.max(1.0)).exp()
+impl Default for Age {
+    fn default() -> Self {
+        Age { listed: None, since: f64::NEG_INFINITY }
     }
+}
+
+impl Age {
+    /// Its age now, at least; infinite if it started long ago.
+    pub fn at(&self, now: Millis) -> Millis {
+        now - self.since
+    }
+
+    /// A list gives this start, and it is at least this late on discovery's clock.
+    fn heard(&mut self, now: Millis, started: Option<Millis>, list_now: Millis) {
+        let Some(at) = started else { return };
+        let since = now - (list_now - at).max(0.0);
+        if self.listed != started {
+            *self = Age { listed: started, since: since.max(self.since) };
+        }
+    }
+
+    /// It answers after it was absent: it may have started anew since.
+    pub fn returned(&mut self, now: Millis) {
+        self.since = now;
+    }
+}
 
-    pub fn add(&mut self, now: Millis, span: Millis) {
-        *self = Recent { count: self.at(now, span) + 1.0, last: now };
+/// Discovery's clock, as far as lists tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ListClock(Option<(Millis, Millis)>);
+
+impl ListClock {
+    /// What it shows at least.
+    fn now(&self, now: Millis) -> Option<Millis> {
+        self.0.map(|(listed, at)| listed + (now - at))
+    }
+
+    fn hear(&mut self, now: Millis, started: Millis) {
+        if started.is_finite() && self.now(now).is_none_or(|known| started > known) {
+            self.0 = Some((started, now));
+        }
     }
 }
 
@@ -115,7 +152,7 @@
 pub struct Balancer {
     pub(crate) settings: Settings,
     pub(crate) rng: u64,
-    /// For what is to look random to others and must come out the same when it is asked again.
+    /// Tells this gateway's requests from those of others, which count from 1 as well.
     pub(crate) salt: u64,
     pub(crate) started: Option<Millis>,
     /// It took connections over from before its start.
@@ -141,8 +178,8 @@
     pub(crate) intake: f64,
     pub(crate) placed: f64,
     pub(crate) place_rate: f64,
-    /// Attempts of the last moments.
-    pub(crate) recent: Recent,
+    pub(crate) slow_start: SlowStart,
+    pub(crate) list_clock: ListClock,
     pub(crate) next_probe: BackendId,
     pub(crate) subscribed: bool,
     pub(crate) ask_backoff: Millis,
@@ -164,24 +201,29 @@
     }
 
     /// Brings the records in line with a list or its changes.
-    pub(crate) fn merge(&mut self, scope: ListScope, entries: Vec<BackendInfo>) {
+    pub(crate) fn merge(&mut self, now: Millis, scope: ListScope, entries: Vec<BackendInfo>) {
         if scope != ListScope::Patch {
             self.servers.values_mut().for_each(|server| server.info.phase = Phase::Gone);
         }
+        for started in entries.iter().filter_map(|info| info.started_at) {
+            self.list_clock.hear(now, started);
+        }
+        let list_now = self.list_clock.now(now).unwrap_or(now);
         for info in entries {
             let turn = self.turn + draw(&mut self.rng);
             let past = f64::NEG_INFINITY;
-            let new = || Server { turn, info, cold_from: past, moved_at: past, ..Server::default() };
+            let new = || Server { turn, info, moved_at: past, ..Server::default() };
             let server = self.servers.entry(info.id).or_insert_with(new);
             if info.started_at != server.info.started_at {
                 (server.fails, server.avoid_until, server.report) = (0, 0.0, None);
             }
-            server.cold_from = server.cold_from.max(info.started_at.unwrap_or(f64::NEG_INFINITY));
+            server.age.heard(now, info.started_at, list_now);
             server.info = info;
         }
         self.servers.retain(|_, server| server.info.phase != Phase::Gone || server.open > 0);
         let serving = self.servers.values().filter(|server| server.info.phase == Phase::Serving);
         self.listed_weight = serving.map(Server::size).sum();
+        self.slow_start.listed(self.listed_weight);
     }
 
     /// Smooths the rate at which this gateway places, over the time a backend takes to warm.
@@ -225,21 +267,6 @@
         self.entries.values().filter(of_group).filter_map(|e| e.backend).collect()
     }
 
-    /// How far back what comes just now is counted: in less than one usually comes in, the one at hand would pass for a
-    /// storm.
-    pub(crate) fn window(&self) -> Millis {
-        self.settings
-            .fall_ms
-            .max(self.settings.rate_part().map_or(0.0, f64::recip).min(self.settings.cold_ms))
-    }
-
-    /// Requests here of one group, at least one: what tells large groups from small ones. All that comes may be of one
-    /// group: that is as many times one backend's part as there are backends.
-    pub(crate) fn same_group(&self, group: Option<AffinityKey>) -> f64 {
-        let same = self.entries.values().filter(|e| group.is_some() && e.request.group == group);
-        same.count().max(1) as f64
-    }
-
     /// The request with its load hint in usual ones, as capacity is counted: hints come in units of their own.
     pub(crate) fn in_usual(&mut self, mut request: Request) -> Request {
         if let Some(hint) = request.load_hint.filter(|hint| hint.is_finite() && *hint > 0.0) {
