Show in a test that fails that a new process sends by a list of any age (drain)

Ruled out: running watches (all other 262 nodes had every change within 0.2 s), a cut network, SIGHUP. Lines: src/net/mod.rs, READY_MS: ready after 2 s by the list from the configuration, and nothing withholds an attempt for the list's age.

--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,47 @@
+//! A process that starts while discovery is slow, and what it may do by the list that it was started with.
+#[path = "common/node.rs"]
+mod node;
+use hopmoor_standin::sockets::{Member, Stage};
+use node::*;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+/// A discovery that serves one call after so long, with this list.
+fn slow_discovery(after: Duration, list: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        thread::sleep(after);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+        stream.write_all((head + &list).as_bytes()).unwrap();
+        // Kept open until the test ends.
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    address
+}
+
+fn list(seq: u32, name: &str, dial: &str) -> String {
+    format!(
+        r#"{{"seq":{seq},"whole":true,"hosts":[{{"host":"{name}","dial":"{dial}","site":"a","block":0,"health":"Ready","share":1.0,"born_ms":0}}]}}"#
+    )
+}
+
+/// Guards against a process that sends by the list it was started with while discovery keeps its first call in line: that list may
+/// be of any age, and a change counts as told 6 s after discovery had it, also for a process that has just started.
+#[test]
+fn nothing_is_sent_by_the_known_list_while_discovery_keeps_the_first_call_in_line() {
+    let stage = Stage::new().unwrap();
+    let gone = Member::start(&stage, 1).unwrap();
+    let serves = Member::start(&stage, 2).unwrap();
+    let discovery = slow_discovery(Duration::from_millis(2_400), list(7, "s-serves", &serves.address()));
+    let known = list(1, "s-gone", &gone.address());
+    let config = config(&discovery).replace(r#"{"seq":0,"whole":true,"hosts":[]}"#, &known);
+    let node = launch(&config, |_| ());
+    let answer = talk(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=6000\r\n");
+    assert_eq!(gone.attempts().0, 0, "sent to one that is gone");
+    assert_eq!(answer, "UP 2\r\n");
+}
