Send nothing by a list that may have been overtaken: a lease that discovery renews

Change: src/freshness.rs decides by values and time: an answer of discovery, or a sign that it is down (no connection, or a refusal within 1 s of a first call), renews the lease for 6 s and the settings' grace less 250 ms; the list of a start has none; another discovery cuts it to 4 s. Attempts without it are parked and chosen anew once it holds (counter attempts_parked). A process is ready once the list holds, at 5 s at the latest. A silent watch is given up after 3 s (4.2 before), so that the call after it is answered within the lease. Slow start's part is 1.2, places of newcomers go by full size.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -108,6 +108,8 @@
     left,
     /// Server-side flows opened.
     flows,
+    /// Attempts that waited for discovery, as the list at hand might have been overtaken.
+    attempts_parked,
     /// Those whose request was written whole.
     attempts,
     /// Transactions answered by a pool member that serves them.
--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -18,9 +18,34 @@
             return self.events.push_back(ended);
         }
         let left = t.deadline - now;
+        if !self.lease.holds(now) {
+            return self.park(now, id, member, timeout_ms.min(left));
+        }
         self.open(now, id, member, timeout_ms.min(left));
     }
 
+    /// The list may have been overtaken: the attempt waits until discovery has answered, and a member is chosen anew then.
+    fn park(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
+        self.counters.attempts_parked += 1;
+        self.log(LogLine::Parked(id));
+        self.parked.insert(id, member);
+        self.timers.set(now + wait_ms, Due::Parked(id));
+    }
+
+    /// The list holds again: members are chosen anew for all who waited for that.
+    pub(super) fn unpark(&mut self, now: Millis) {
+        for id in self.parked.keys().copied().collect::<Vec<_>>() {
+            self.choose_anew(now, id);
+        }
+    }
+
+    pub(super) fn choose_anew(&mut self, now: Millis, id: TransactionId) {
+        let Some(backend) = self.parked.remove(&id) else { return };
+        let Some(t) = self.transactions.get(&id).filter(|t| t.stage == Stage::Held) else { return };
+        let (attempt, outcome) = (t.flows, Outcome::NotSent);
+        self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: false, report: None });
+    }
+
     pub(super) fn open(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
         let Some(dial) = self.pool.dial(member) else { return };
         let name = self.pool.name(member);
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::api::*;
 use crate::config::Site;
+use crate::freshness::{CallFailure, Lease};
 use crate::pool::PoolList;
 use counters::{Classes, count_bad};
 use delay::Delays;
@@ -85,6 +86,8 @@
     Leave,
     Drain(BackendId, Spread),
     Look,
+    /// An attempt that waits for a list that holds has had its time.
+    Parked(TransactionId),
 }
 
 /// The core of a node.
@@ -98,6 +101,10 @@
     names: BTreeSet<Box<str>>,
     pings: Vec<TransactionId>,
     pool: Pool,
+    /// Whether the pool as it is known still holds.
+    lease: Lease,
+    /// Attempts that wait for that.
+    parked: BTreeMap<TransactionId, BackendId>,
     delays: Delays,
     looks_round_until: Millis,
     nodes: usize,
@@ -138,6 +145,8 @@
             names: BTreeSet::new(),
             pings: Vec::new(),
             pool: Pool::default(),
+            lease: Lease::unlimited(),
+            parked: BTreeMap::new(),
             timers: Timers::default(),
             events: VecDeque::new(),
             handling: false,
@@ -159,6 +168,30 @@
         broker
     }
 
+    /// The pool comes from discovery: nothing new is sent by a list that may have been overtaken, see [`crate::freshness`].
+    pub fn lists_are_leased(&mut self, stop_sending_ms: Millis) {
+        self.lease = Lease::none(stop_sending_ms);
+    }
+
+    /// Whether the list at hand holds.
+    pub fn list_holds(&self, now: Millis) -> bool {
+        self.lease.holds(now)
+    }
+
+    /// Discovery has answered that there is nothing new.
+    pub fn list_confirmed(&mut self, now: Millis) {
+        self.lease.answered(now);
+        self.unpark(now);
+    }
+
+    /// A call to discovery has failed.
+    pub fn call_failed(&mut self, now: Millis, failure: CallFailure) {
+        self.lease.call_failed(now, failure);
+        if self.lease.holds(now) {
+            self.unpark(now);
+        }
+    }
+
     /// What it has counted so far.
     pub fn counters(&self) -> Counters {
         let open = self.transactions.values().filter(|t| t.stage == Stage::Up).count() as u64;
@@ -275,6 +308,7 @@
         self.log(LogLine::List { seq: list.seq, whole: list.whole });
         let scope = if list.whole { ListScope::Whole } else { ListScope::Patch };
         self.list(now, list, scope);
+        self.list_confirmed(now);
         self.set_ready();
         Ok(())
     }
@@ -300,7 +334,8 @@
     }
 
     /// Discovery is watched elsewhere from now on, whether or not it was watched until now.
-    pub fn rewatch(&mut self) {
+    pub fn rewatch(&mut self, now: Millis) {
+        self.lease.moved(now);
         self.pool.refresh();
         self.watching = true;
         self.orders.push_back(Order::Watch(true));
@@ -519,6 +554,7 @@
                 Due::Measure => self.measure(now),
                 Due::Leave => self.leave_step(now),
                 Due::Look => self.look(now),
+                Due::Parked(id) => self.choose_anew(now, id),
                 Due::Drain(member, spread) => self.drain_step(now, member, spread),
             }
         }
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -168,6 +168,7 @@
     /// Lets go of a transaction and of its name.
     pub(super) fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
         let t = self.transactions.remove(&id)?;
+        self.parked.remove(&id);
         if let Some(name) = &t.name {
             self.names.remove(name);
         }
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -159,6 +159,8 @@
     Fault(String),
     /// A transaction had no answer at its deadline; the broker failed it.
     Overdue(TransactionId),
+    /// An attempt waits for an answer of discovery: the list at hand may have been overtaken.
+    Parked(TransactionId),
     /// The module named a member that may not be sent to.
     Withheld(TransactionId, String),
     /// A client asked under the name of another transaction that is open.
--- a/src/config.rs
+++ b/src/config.rs
@@ -92,6 +92,9 @@
     pub folder: PathBuf,
 }
 
+/// Where the settings don't say for how long after a drain was told something new may still be sent.
+const STOP_SENDING_MS: Millis = 750.0;
+
 /// The settings: those of the decision module and those that only the network code reads.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Site {
@@ -111,6 +114,8 @@
     pub keepalive_ms: Millis,
     /// The longest deadline that any class states; 0 if none does.
     pub longest_deadline_ms: Millis,
+    /// Nothing new goes to a member for longer than this after it was told that it drains or is gone.
+    pub stop_sending_ms: Millis,
 }
 
 /// What is wrong with the configuration: names the file or the field.
@@ -195,6 +200,7 @@
         list.map(|list| list.iter().map(name).collect()).unwrap_or_default()
     };
     let keepalive = setup.pointer("/caps/keepaliveMs").and_then(Value::as_f64);
+    let stop_sending = setup.pointer("/invariants/stopSendingWithinMs").and_then(Value::as_f64);
     let classes = setup.pointer("/profiles").and_then(Value::as_array);
     let deadlines = classes.into_iter().flatten().filter_map(|raw| raw.get("deadlineMs")?.as_f64());
     Site {
@@ -206,6 +212,7 @@
         answers_report: setup.pointer("/report/how").and_then(Value::as_str) == Some("piggyback"),
         keepalive_ms: keepalive.filter(|ms| *ms > 0.0).unwrap_or(5_000.0),
         longest_deadline_ms: deadlines.fold(0.0, f64::max),
+        stop_sending_ms: stop_sending.filter(|ms| *ms >= 0.0).unwrap_or(STOP_SENDING_MS),
     }
 }
 
--- /dev/null
+++ b/src/freshness.rs
@@ -0,0 +1,72 @@
+//! Freshness of the list of pool members: whether what is known of them still holds, so that something new may be sent.
+//!
+//! Whatever discovery has to tell counts as told 6 s after it had it and could be reached, whether it arrived or not, and nothing new
+//! may go to a member that drains or is gone for longer than the settings allow after that. So a list is a lease: it is renewed by
+//! each answer, and by each sign that discovery can't be reached; when it has run out the node can't know whom it may send to, and
+//! sends nothing until discovery has answered. The list that a process is started with carries no lease: it may be of any age.
+//!
+//! Decides by values and time passed in; spans are of the caller's clock, which only goes forward.
+
+use crate::api::Millis;
+
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_MS: Millis = 6_000.0;
+/// And so long after a new configuration named another discovery.
+const MOVED_MS: Millis = 4_000.0;
+/// The process may be held up for so long between reading its clock and writing, and timers and sockets take their time.
+const HELD_UP_MS: Millis = 250.0;
+/// A refusal by discovery that comes sooner than this after the call is no wait in line: it is down.
+pub const PROMPT_MS: Millis = 1_000.0;
+
+/// The lease on the list at hand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lease {
+    until: Millis,
+    length: Millis,
+}
+
+/// How a call to discovery failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// Discovery can't be reached, or says at once that it does not answer: it tells nobody anything.
+    Down,
+    /// It can be reached, but the call got no good answer: it waited in line for too long, was cut, or was answered badly.
+    Unanswered,
+}
+
+impl Lease {
+    /// A lease that never runs out: the list does not come from discovery.
+    pub fn unlimited() -> Self {
+        Lease { until: Millis::INFINITY, length: Millis::INFINITY }
+    }
+
+    /// None yet, where nothing new may go to a member for longer than `grace_ms` after a change counts as told.
+    pub fn none(grace_ms: Millis) -> Self {
+        Lease { until: Millis::NEG_INFINITY, length: TOLD_MS + (grace_ms - HELD_UP_MS).max(0.0) }
+    }
+
+    /// Discovery has answered: the list is as good as new.
+    pub fn answered(&mut self, now: Millis) {
+        self.until = self.until.max(now + self.length);
+    }
+
+    /// A call has failed. While discovery is down nothing counts as told.
+    pub fn call_failed(&mut self, now: Millis, failure: CallFailure) {
+        if failure == CallFailure::Down {
+            self.until = self.until.max(now + self.length);
+        }
+    }
+
+    /// Discovery is another one from now on: what it has counts as told sooner.
+    pub fn moved(&mut self, now: Millis) {
+        self.until = self.until.min(now + self.length - TOLD_MS + MOVED_MS);
+    }
+
+    /// Whether something new may be sent by the list at hand.
+    pub fn holds(&self, now: Millis) -> bool {
+        now < self.until
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/freshness/tests.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+#[test]
+fn a_list_holds_from_an_answer_until_a_change_would_count_as_told() {
+    let mut lease = Lease::none(750.0);
+    assert!(!lease.holds(0.0), "the list that a process starts with may be of any age");
+    lease.answered(1_000.0);
+    assert!(lease.holds(7_490.0) && !lease.holds(7_500.0));
+    lease.answered(7_600.0);
+    assert!(lease.holds(8_000.0));
+}
+
+#[test]
+fn a_list_holds_while_discovery_is_down_and_not_while_it_is_crowded() {
+    let mut lease = Lease::none(750.0);
+    lease.call_failed(0.0, CallFailure::Unanswered);
+    assert!(!lease.holds(0.0));
+    lease.call_failed(2_000.0, CallFailure::Down);
+    assert!(lease.holds(8_000.0) && !lease.holds(8_500.0));
+}
+
+#[test]
+fn a_list_that_does_not_come_from_discovery_always_holds() {
+    assert!(Lease::unlimited().holds(1e15));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod config;
 pub mod discovery;
 pub mod drill;
+mod freshness;
 pub mod front;
 pub mod inventory;
 mod logic;
@@ -56,5 +57,6 @@
 pub mod xmpp;
 
 pub use api::*;
+pub use freshness::CallFailure;
 pub use logic::Balancer;
 pub use view::{MemberView, TenantView};
--- a/src/logic/placement.rs
+++ b/src/logic/placement.rs
@@ -91,14 +91,15 @@
     }
 
     /// The backend in slow start that is the request's place among those that are ready, if it has its place at one. What a node
-    /// prefers for the moment, by turns or load, must not lead there: the chance counts on places.
+    /// prefers for the moment, by turns or load, must not lead there: the chance counts on places. They are by full size, so that a
+    /// newcomer gets its groups bit by bit and not one after the other.
     fn place_in_slow_start(&self, now: Millis, key: u64, kin: &BTreeSet<BackendId>) -> Option<BackendId> {
         let ready = || self.servers.iter().filter(|(_, server)| server.ready);
         if ready().any(|(id, server)| kin.contains(id) && !server.in_slow_start(now, &self.settings)) {
             return None;
         }
         let far = |server: &Server| server.info.zone != self.settings.zone;
-        let place = ready().min_by_key(|(id, server)| (far(server), place(key ^ id.0, server.capacity)));
+        let place = ready().min_by_key(|(id, server)| (far(server), place(key ^ id.0, server.size())));
         let (id, server) = place.filter(|(_, server)| server.in_slow_start(now, &self.settings))?;
         server.told(now).is_none_or(|(load, _)| load.max(server.peak) < BUSY).then_some(*id)
     }
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -19,10 +19,11 @@
 use crate::state::*;
 use std::collections::VecDeque;
 
-/// Part of its allowance that a node uses on average: the rest is for chance, and for the nodes that have not yet heard of the start.
-const PART: f64 = 0.7;
+/// A node's part of the allowance, over one of as many: rests, nodes with little to send and places without requests leave a third
+/// and more of all parts unused, and the stated rate is less than what backends can do.
+const PART: f64 = 1.2;
 /// Part of a span that one request may bring when none has come for long.
-const REST: f64 = 0.5;
+const REST: f64 = 0.3;
 /// Requests from which it is learned what is preferred how often.
 const KEYS: usize = 64;
 /// What is taken for granted before any has come, in requests: that a backend is preferred by its size.
@@ -94,11 +95,11 @@
         let serves =
             |s: &Server| s.info.phase == Phase::Serving && (s.info.zone == self.settings.zone) == near;
         let kind = || self.servers.iter().filter(|(_, s)| serves(s));
-        let all: f64 = kind().map(|(_, s)| s.capacity).sum();
-        let prior = if all > 0.0 { server.capacity / all } else { 1.0 };
+        let all: f64 = kind().map(|(_, s)| s.size()).sum();
+        let prior = if all > 0.0 { server.size() / all } else { 1.0 };
         let prefers = |key: &&u64| {
-            let its = place(**key ^ to.0, server.capacity);
-            !kind().any(|(id, other)| *id != to && place(**key ^ id.0, other.capacity) < its)
+            let its = place(**key ^ to.0, server.size());
+            !kind().any(|(id, other)| *id != to && place(**key ^ id.0, other.size()) < its)
         };
         let count = self.slow_start.keys.iter().filter(prefers).count() as f64;
         let others = self.slow_start.keys.len().saturating_sub(1) as f64;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -39,8 +39,12 @@
 const LINGER_MS: Millis = 600.0;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
-/// Without a word from discovery the node goes by the list it was given after this.
+/// While discovery is down the node goes by the list it was given after this.
 const READY_MS: u64 = 2_000;
+/// A node that still waits for discovery then is ready all the same, as nine in ten have to be within 6 s; what comes waits.
+const READY_LATEST_MS: u64 = 5_000;
+/// Between these it looks so often whether discovery has turned out to be down.
+const READY_STEP_MS: u64 = 100;
 
 /// Unix time in milliseconds that only goes forward, from the start of the process on.
 #[derive(Clone, Copy)]
@@ -153,6 +157,7 @@
             LogLine::Module(what) => info!(self.log, "module"; "what" => what),
             LogLine::Fault(what) => slog::error!(self.log, "module fault"; "what" => what),
             LogLine::Overdue(id) => slog::error!(self.log, "answer overdue"; "transaction" => id.0),
+            LogLine::Parked(id) => debug!(self.log, "attempt waits for discovery"; "transaction" => id.0),
             LogLine::Withheld(id, member) => {
                 warn!(self.log, "send withheld"; "transaction" => id.0, "member" => member)
             }
@@ -285,6 +290,9 @@
     log: Logger,
 ) -> io::Result<()> {
     let mut broker = Broker::new(clock.now(), &config.site, config.seed, config.known.clone());
+    if config.discovery.is_some() {
+        broker.lists_are_leased(config.site.stop_sending_ms);
+    }
     let recorder = match &config.records {
         Some(records) => {
             broker.record(clock.now());
@@ -356,6 +364,11 @@
     let late = node.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(READY_MS)).await;
+        let mut waited = READY_MS;
+        while waited < READY_LATEST_MS && !late.with(|broker, now| broker.list_holds(now)) {
+            tokio::time::sleep(Duration::from_millis(READY_STEP_MS)).await;
+            waited += READY_STEP_MS;
+        }
         late.with(|broker, _| broker.set_ready());
     });
     loop {
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -63,7 +63,7 @@
     node.with(|broker, now| broker.reloaded(now, true));
     if let Some(address) = new.discovery {
         node.discovery.set(Some(address));
-        node.with(|broker, _| broker.rewatch());
+        node.with(|broker, now| broker.rewatch(now));
         node.redirected.notify_one();
     }
 }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -3,6 +3,7 @@
 use super::Node;
 use crate::broker::Unfit;
 use crate::discovery::{Call, Reply, since, whole};
+use crate::freshness::{CallFailure, PROMPT_MS};
 use crate::pool::decode;
 use slog::warn;
 use std::io;
@@ -14,10 +15,10 @@
 
 /// Discovery may keep a call this long; the first of a watch is answered at once. What it has to tell counts as told 6 s after it
 /// has it, whether it arrived or not: a watch that has gone silent is given up, and the next call answered, within that.
-const WAIT_MS: u64 = 3_000;
+const WAIT_MS: u64 = 2_000;
 const FIRST_WAIT_MS: u64 = 1;
 /// An answer that is this late will not come.
-const LATE: Duration = Duration::from_millis(1_200);
+const LATE: Duration = Duration::from_millis(1_000);
 /// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
 /// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
 /// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
@@ -43,6 +44,8 @@
             }
             error = calls(&node, address, &zones, &mut fresh, &mut anew) => error,
         };
+        let FailedCall { failure, error } = error;
+        node.with(|broker, now| broker.call_failed(now, failure));
         if fresh.is_some_and(|named| named.elapsed() < NAMED) && node.watching.get() {
             tokio::time::sleep(AGAIN).await;
             continue;
@@ -63,7 +66,7 @@
     zones: &[String],
     fresh: &mut Option<tokio::time::Instant>,
     anew: &mut bool,
-) -> String {
+) -> FailedCall {
     let authority = address.to_string();
     let mut stream = None;
     let mut first = true;
@@ -76,40 +79,68 @@
         };
         let late = if first { LATE_IN_LINE } else { LATE };
         let limit = Duration::from_millis(wait) + late;
-        let reply = match tokio::time::timeout(limit, call(&mut stream, address, request)).await {
+        let began = tokio::time::Instant::now();
+        if stream.is_none() {
+            match connect(address).await {
+                Ok(connected) => stream = Some(connected),
+                Err(error) => return FailedCall { failure: CallFailure::Down, error: error.to_string() },
+            }
+        }
+        // Discovery that is down refuses at once; a call that has waited was in line, or its watch broke.
+        let prompt = || first && began.elapsed().as_secs_f64() * 1_000.0 < PROMPT_MS;
+        let failed = |error| {
+            let failure = if prompt() { CallFailure::Down } else { CallFailure::Unanswered };
+            FailedCall { failure, error }
+        };
+        let reply = match tokio::time::timeout(limit, call(&mut stream, request)).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "no answer".into(),
+            Ok(Err(error)) => return failed(error.to_string()),
+            Err(_) => return FailedCall::unanswered("no answer"),
         };
         if reply.status != 200 {
-            return format!("status {}", reply.status);
+            return failed(format!("status {}", reply.status));
         }
         if !reply.reusable {
             stream = None;
         }
         match decode(&reply.body, zones) {
             // An answer without news says nothing to the module, except that the watch has begun.
-            Ok(list) if !first && list.says_nothing(node.broker.borrow().pool_seq()) => {}
+            Ok(list) if !first && list.says_nothing(node.broker.borrow().pool_seq()) => {
+                node.with(|broker, now| broker.list_confirmed(now));
+            }
             // The last pool is kept where it is not taken.
             Ok(list) => {
                 if let Err(unfit) = node.with(|broker, now| broker.listed(now, list)) {
                     *anew = matches!(unfit, Unfit::Older { .. });
-                    return format!("bad answer: {unfit}");
+                    return FailedCall::unanswered(&format!("bad answer: {unfit}"));
                 }
             }
-            Err(error) => return format!("bad answer: {error}"),
+            Err(error) => return FailedCall::unanswered(&format!("bad answer: {error}")),
         }
         first = fresh.take().is_some();
     }
-    String::new()
+    FailedCall::unanswered("")
+}
+
+/// Why calls have ended.
+struct FailedCall {
+    failure: CallFailure,
+    error: String,
 }
 
-async fn call(stream: &mut Option<TcpStream>, address: SocketAddr, request: String) -> io::Result<Reply> {
-    if stream.is_none() {
-        let connected = tokio::time::timeout(LATE, TcpStream::connect(address)).await??;
-        let _ = connected.set_nodelay(true);
-        *stream = Some(connected);
+impl FailedCall {
+    fn unanswered(error: &str) -> Self {
+        FailedCall { failure: CallFailure::Unanswered, error: error.to_owned() }
     }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let connected = tokio::time::timeout(LATE, TcpStream::connect(address)).await??;
+    let _ = connected.set_nodelay(true);
+    Ok(connected)
+}
+
+async fn call(stream: &mut Option<TcpStream>, request: String) -> io::Result<Reply> {
     let Some(open) = stream else { return Err(io::ErrorKind::NotConnected.into()) };
     open.write_all(request.as_bytes()).await?;
     let mut call = Call::default();
