--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -110,6 +110,8 @@
     flows,
     /// Attempts that waited for discovery, as the list at hand might have been overtaken.
     attempts_parked,
+    /// Attempts that the decision module asked for and that may not be: never, unless it is at fault.
+    permits_denied,
     /// Those whose request was written whole.
     attempts,
     /// Transactions answered by a pool member that serves them.
--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -1,27 +1,46 @@
 //! Server-side flows: one out at most, six in all, none to a member that drains or is gone.
 
 use super::counters::count_outcome;
+use super::permit::{Denied, Permit, may_have_run};
 use super::*;
 
 impl Broker {
     pub(super) fn attempt(&mut self, now: Millis, id: TransactionId, member: BackendId, timeout_ms: Millis) {
-        let Some(t) = self.transactions.get(&id).filter(|t| t.stage == Stage::Held) else { return };
-        if t.flows >= self.most_flows || timeout_ms <= 0.0 || !self.pool.serving(member) {
-            let name = self.pool.name(member);
-            let (attempt, outcome) = (t.flows, Outcome::NotSent);
-            self.tape.note(now, || {
-                let what = format!("attempt of transaction {} at {name} withheld", id.0);
-                record::Fault { what }.into()
-            });
-            self.log(LogLine::Withheld(id, name));
-            let ended = Event::Ended { id, attempt, backend: member, outcome, closed: false, report: None };
-            return self.events.push_back(ended);
+        match self.permit(now, id, member, timeout_ms) {
+            Ok(permit) => self.open(now, permit),
+            Err(Denied::NotWaiting) => self.counters.permits_denied += 1,
+            Err(Denied::List) => self.park(now, id, member, timeout_ms),
+            Err(_) => self.withhold(now, id, member),
         }
-        let left = t.deadline - now;
-        if !self.lease.holds(now) {
-            return self.park(now, id, member, timeout_ms.min(left));
+    }
+
+    /// Goes back to the member that holds a connection from before the node began.
+    pub(super) fn open_adopted(
+        &mut self,
+        now: Millis,
+        id: TransactionId,
+        member: BackendId,
+        wait_ms: Millis,
+    ) {
+        match self.permit_adopted(now, id, member, wait_ms) {
+            Ok(permit) => self.open(now, permit),
+            Err(_) => self.answer(now, id, Command::Fail(Failure::NotAdopted)),
         }
-        self.open(now, id, member, timeout_ms.min(left));
+    }
+
+    /// The module asked for what may not be: it hears that nothing was sent.
+    fn withhold(&mut self, now: Millis, id: TransactionId, member: BackendId) {
+        let Some(t) = self.transactions.get(&id) else { return };
+        let name = self.pool.name(member);
+        let (attempt, outcome) = (t.flows, Outcome::NotSent);
+        self.counters.permits_denied += 1;
+        self.tape.note(now, || {
+            let what = format!("attempt of transaction {} at {name} withheld", id.0);
+            record::Fault { what }.into()
+        });
+        self.log(LogLine::Withheld(id, name));
+        let ended = Event::Ended { id, attempt, backend: member, outcome, closed: false, report: None };
+        self.events.push_back(ended);
     }
 
     /// The list may have been overtaken: the attempt waits until discovery has answered, and a member is chosen anew then.
@@ -46,7 +65,8 @@
         self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: false, report: None });
     }
 
-    pub(super) fn open(&mut self, now: Millis, id: TransactionId, member: BackendId, wait_ms: Millis) {
+    pub(super) fn open(&mut self, now: Millis, permit: Permit) {
+        let Permit { id, member, wait_ms } = permit;
         let Some(dial) = self.pool.dial(member) else { return };
         let name = self.pool.name(member);
         let Some(t) = self.transactions.get_mut(&id) else { return };
@@ -104,6 +124,7 @@
             self.orders.push_back(Order::Log(line));
         }
         t.stage = Stage::Held;
+        t.may_have_run |= may_have_run(outcome);
         if t.adopted && !t.told {
             // The module has not heard of it: an adopted connection goes to its member or nowhere.
             if t.flows < self.most_flows && now + ADOPT_PAUSE_MS < t.deadline {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -10,6 +10,7 @@
 mod flows;
 mod leaving;
 mod moves;
+mod permit;
 mod pool;
 mod requests;
 mod tape;
@@ -73,6 +74,8 @@
     told: bool,
     /// The flow's request is written whole.
     written: bool,
+    /// An earlier attempt may have run.
+    may_have_run: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -545,11 +548,7 @@
                     let Some((member, left)) = held.and_then(|t| Some((t.member?, t.deadline - now))) else {
                         continue;
                     };
-                    if self.pool.serving(member) {
-                        self.open(now, id, member, left);
-                    } else {
-                        self.answer(now, id, Command::Fail(Failure::NotAdopted));
-                    }
+                    self.open_adopted(now, id, member, left);
                 }
                 Due::Measure => self.measure(now),
                 Due::Leave => self.leave_step(now),
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -61,11 +61,12 @@
                 committed: false,
                 told: holder.is_none(),
                 written: false,
+                may_have_run: false,
             },
         );
         self.timers.set(deadline, Due::Answer(id));
         match holder {
-            Some(member) => self.open(now, id, member, grace_ms),
+            Some(member) => self.open_adopted(now, id, member, grace_ms),
             // A holder that has gone since can't be asked: the connection is placed like a new one.
             None => self.feed(now, Event::Request(request)),
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -401,3 +401,36 @@
     // A warm one takes a tenth of a connection a second: 2.5 x 0.14 x 0.1 x 20 gateways alone are 0.7.
     assert!(sends <= 2, "{sends} sends to a cold backend in 20 runs");
 }
+
+/// Guards against ages counted by the wall clock: a process whose clock is an hour ahead, or behind, of discovery's took a backend
+/// that starts for warm, or for one that has not started yet.
+#[test]
+fn a_stepped_wall_clock_makes_no_newcomer_warm() {
+    let tenants = vec![Tenant { quota_connections: 50.0, quota_rate: 5.0, ..Tenant::default() }];
+    let settings = Settings {
+        tenants,
+        start_capacity: 0.12,
+        cold_ms: 24_000.0,
+        fall_ms: 3_000.0,
+        overload_factor: 3.0,
+        ..settings()
+    };
+    let sent = |step: f64| {
+        let mut relay = Relay::with(settings.clone(), (0..9).map(backend));
+        relay.run(10_000.0);
+        // What the list says is on discovery's clock; the process's own is off by the step.
+        let started_at = Some(relay.now - step);
+        let entries = vec![BackendInfo { started_at, ..backend(9) }];
+        relay.give(Event::Backends { scope: ListScope::Patch, entries });
+        let mut newcomer = 0;
+        for id in 0..200 {
+            let from = relay.now;
+            relay.run(from + 12.5);
+            newcomer += u32::from(sent_to(&relay.ask(request(1_000 + id))) == Some(BackendId(9)));
+        }
+        newcomer
+    };
+    let all = [0.0, 3_600_000.0, -3_600_000.0, 5_000.0, -5_000.0].map(sent);
+    // N is 3 x 0.12 to 0.21 x 0.5 a second x 3 s: at most 0.95, and 3 + 3 x its root on top.
+    assert!(all.iter().all(|sent| *sent <= 6), "{all:?}");
+}
