Let members of the soak stay away for longer than a change may go untold

Members came back after some 5 s, so that no process could send to one over 6.8 s after it went. Change: they stay away for 11 s at least.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -228,7 +228,7 @@
                 self.gone.insert(of, now);
             }
             _ => {
-                let back = self.gone.iter().find(|(_, since)| since.elapsed() > Duration::from_secs(4));
+                let back = self.gone.iter().find(|(_, since)| since.elapsed() > Duration::from_secs(11));
                 if let Some((of, since)) = back.map(|(of, since)| (*of, *since)) {
                     self.gone.remove(&of);
                     self.absences.push((of, since, Some(Instant::now())));
