Take a 503 of discovery for an outage, whenever it comes

Ruled out: slow start (112 attempts at newcomers of 4,192). Lines: src/net/watch.rs, a refusal counted as an outage within 1 s only. Change: any 503 renews the lease.

--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -28,9 +28,9 @@
 /// How a call to discovery failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
-    /// Discovery can't be reached, or says at once that it does not answer: it tells nobody anything.
+    /// Discovery can't be reached, or says that it does not serve (503): it tells nobody anything.
     Down,
-    /// It can be reached, but the call got no good answer: it waited in line for too long, was cut, or was answered badly.
+    /// It can be reached, but the call got no good answer: none came, it was cut, or it was answered badly.
     Unanswered,
 }
 
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -24,6 +24,9 @@
 /// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
 /// address, where all nodes call at once as well.
 const LATE_IN_LINE: Duration = Duration::from_millis(2_600);
+/// Discovery says so when it is down, and when a call has waited for too long: both after some 2 s, so that they can't be told apart.
+/// A node that took the first for the second would send nothing for the whole of an outage.
+const UNAVAILABLE: u16 = 503;
 /// A new address may not answer yet: it is called again after a pause, until so long after it was named.
 const AGAIN: Duration = Duration::from_millis(100);
 const NAMED: Duration = Duration::from_millis(3_000);
@@ -97,6 +100,9 @@
             Ok(Err(error)) => return failed(error.to_string()),
             Err(_) => return FailedCall::unanswered("no answer"),
         };
+        if reply.status == UNAVAILABLE {
+            return FailedCall { failure: CallFailure::Down, error: format!("status {}", reply.status) };
+        }
         if reply.status != 200 {
             return failed(format!("status {}", reply.status));
         }
