Name a private module in a comment without a link, as rustdoc asks

Cause: RUSTDOCFLAGS='-D warnings' cargo doc failed on lists_are_leased, which linked a private module.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -171,7 +171,7 @@
         broker
     }
 
-    /// The pool comes from discovery: nothing new is sent by a list that may have been overtaken, see [`crate::freshness`].
+    /// The pool comes from discovery: nothing new is sent by a list that may have been overtaken, see `src/freshness.rs`.
     pub fn lists_are_leased(&mut self, stop_sending_ms: Millis) {
         self.lease = Lease::none(stop_sending_ms);
     }
