--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -19,8 +19,8 @@
 use crate::state::*;
 use std::collections::VecDeque;
 
-/// A node's part of the allowance, over one of as many: rests, nodes with little to send and places without requests leave a third
-/// and more of all parts unused, and the stated rate is less than what backends can do.
+/// A node's part of the allowance, over one of as many: rests, nodes with little to send and places without requests leave parts unused.
+/// The largest at which tests/ramp.rs and tests/fleet.rs hold.
 const PART: f64 = 1.2;
 /// Part of a span that one request may bring when none has come for long.
 const REST: f64 = 0.3;
