Call the table of descriptors a budget and its clients pending, not seats and strangers

Change: names and comments only: DescriptorBudget in src/net/descriptors.rs, ExchangeSlot for an exchange's.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,4 +1,4 @@
-//! Answers operators: seats of its own, so that no crowd of clients keeps a call out.
+//! Answers operators: descriptors of its own, so that no crowd of clients keeps a call out.
 
 use super::agree::Agree;
 use super::fleet::Link;
@@ -15,8 +15,8 @@
 use tokio::sync::oneshot;
 
 /// Callers at once; their descriptors are kept back from those of clients. A call that is whole is answered at
-/// once, so that only those that wait for the rest of one fill the seats, and the oldest of them gives way.
-pub(super) const SEATS: usize = 12;
+/// once, so that only those that wait for the rest of one fill them, and the oldest of them gives way.
+pub(super) const DESCRIPTORS: usize = 12;
 /// A call that is not whole by then is refused.
 const WAIT: Duration = Duration::from_secs(5);
 /// The answer is written, and what the caller still sends is read, within this: closing before would answer it
@@ -30,8 +30,8 @@
 
 pub(super) async fn accept(node: Rc<Node>, listener: TcpListener, classes: Vec<String>) {
     let classes: Rc<[String]> = classes.into();
-    // Those that sit, oldest first: dropping the sender ends the call.
-    let mut seats: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+    // Open calls, oldest first: dropping the sender ends the call.
+    let mut calls: VecDeque<oneshot::Sender<()>> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -41,14 +41,14 @@
                 continue;
             }
         };
-        seats.retain(|seat| !seat.is_closed());
-        if seats.len() >= SEATS {
-            seats.pop_front();
+        calls.retain(|call| !call.is_closed());
+        if calls.len() >= DESCRIPTORS {
+            calls.pop_front();
             // The one that gave way closes first.
             tokio::task::yield_now().await;
         }
-        let (seat, given_way) = oneshot::channel();
-        seats.push_back(seat);
+        let (call, given_way) = oneshot::channel();
+        calls.push_back(call);
         let (node, classes) = (node.clone(), classes.clone());
         tokio::task::spawn_local(async move {
             tokio::select! {
--- a/src/net/seats.rs
+++ b/src/net/descriptors.rs
@@ -1,7 +1,7 @@
-//! Seats: how many descriptors the node's sockets take, and who gives way when they run short.
+//! The descriptor budget: how many descriptors the node's sockets take, and who gives way when they run short.
 //!
-//! A client without a whole first line holds one descriptor, one whose transaction is open may need two, and one
-//! that has its last word holds one until it is gone. The last kind is bounded and gives way first, the oldest before
+//! A client without a whole first line (pending) holds one descriptor, one whose transaction is open may need two, and one
+//! that has its final response (lingering close) holds one until it is gone. The last kind is bounded and gives way first, the oldest before
 //! the others; then the first kind, whoever has done nothing for longest. They may fill what nobody else needs: guards
 //! against silent clients that crowd out real ones, and against real ones that write slowly being taken for silent.
 
@@ -12,7 +12,7 @@
 
 /// Descriptors that are no connection of a client, a member, discovery or an operator: streams, listeners, the runtime's.
 const BASE: usize = 20;
-/// Part of all descriptors that clients with their last word may hold.
+/// Part of all descriptors that clients in a lingering close may hold.
 const PART: usize = 8;
 /// Bytes of a first line count for so much time: one that writes on stays before one that says nothing, but one that
 /// has stopped half way not for long, and a client whose line is still on its way before that one.
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     /// It gives way in the order of these.
-    Stranger(Turn),
+    Pending(Turn),
     Open,
     Lingering,
 }
@@ -41,33 +41,33 @@
     }
 }
 
-/// Who sits where.
-pub(super) struct Seats {
+/// Who holds descriptors.
+pub(super) struct DescriptorBudget {
     most: usize,
     few: usize,
     held: usize,
-    seats: BTreeMap<TransactionId, (Kind, UnboundedSender<Command>)>,
-    strangers: BTreeSet<(Turn, TransactionId)>,
+    clients: BTreeMap<TransactionId, (Kind, UnboundedSender<Command>)>,
+    pending: BTreeSet<(Turn, TransactionId)>,
     lingering: BTreeSet<TransactionId>,
 }
 
-impl Seats {
-    /// Seats for a process that may hold so many descriptors.
+impl DescriptorBudget {
+    /// A budget for a process that may hold so many descriptors.
     pub(super) fn new(sockets: usize) -> Self {
-        let (most, few) = Seats::sizes(sockets);
-        Seats {
+        let (most, few) = DescriptorBudget::sizes(sockets);
+        DescriptorBudget {
             most,
             few,
             held: 0,
-            seats: BTreeMap::new(),
-            strangers: BTreeSet::new(),
+            clients: BTreeMap::new(),
+            pending: BTreeSet::new(),
             lingering: BTreeSet::new(),
         }
     }
 
-    /// The process may hold so many descriptors from now on; nobody who sits has to go for it.
+    /// The process may hold so many descriptors from now on; nobody who holds one has to go for it.
     pub(super) fn resize(&mut self, sockets: usize) {
-        (self.most, self.few) = Seats::sizes(sockets);
+        (self.most, self.few) = DescriptorBudget::sizes(sockets);
     }
 
     /// Transactions that could still be taken in, and the most there could ever be: each may need two descriptors.
@@ -81,14 +81,14 @@
 
     /// Hands a command to a client's session; one that has just ended needs none any more.
     pub(super) fn send(&self, id: TransactionId, command: Command) {
-        if let Some((_, commands)) = self.seats.get(&id) {
+        if let Some((_, commands)) = self.clients.get(&id) {
             let _ = commands.send(command);
         }
     }
 
-    /// Nobody is seated.
+    /// No client holds any.
     pub(super) fn is_empty(&self) -> bool {
-        self.seats.is_empty()
+        self.clients.is_empty()
     }
 
     /// A client has connected. Returns whether there is room, and how many had to give way for it.
@@ -101,42 +101,42 @@
         let (room, gave_way) = self.make_room(1);
         if room {
             self.held += 1;
-            self.strangers.insert((turn(now), id));
-            self.seats.insert(id, (Kind::Stranger(turn(now)), commands));
+            self.pending.insert((turn(now), id));
+            self.clients.insert(id, (Kind::Pending(turn(now)), commands));
         }
         (room, gave_way)
     }
 
     /// A client has sent a part of its first line.
     pub(super) fn wrote(&mut self, now: Millis, id: TransactionId) {
-        if let Some((Kind::Stranger(last), _)) = self.seats.get_mut(&id) {
+        if let Some((Kind::Pending(last), _)) = self.clients.get_mut(&id) {
             let next = turn(now + BYTES_MS);
-            self.strangers.remove(&(std::mem::replace(last, next), id));
-            self.strangers.insert((next, id));
+            self.pending.remove(&(std::mem::replace(last, next), id));
+            self.pending.insert((next, id));
         }
     }
 
     /// A client has asked: from now on it may need a descriptor for its member, too.
     pub(super) fn open(&mut self, id: TransactionId) -> (bool, u64) {
         // It must not give way for itself.
-        self.forget_stranger(id);
+        self.forget_pending(id);
         let (room, gave_way) = self.make_room(1);
-        match self.seats.get_mut(&id) {
-            Some(seat) if room => {
+        match self.clients.get_mut(&id) {
+            Some(entry) if room => {
                 self.held += 1;
-                seat.0 = Kind::Open;
+                entry.0 = Kind::Open;
             }
             _ => {}
         }
         (room, gave_way)
     }
 
-    /// A client has its last word and may linger until it has read it.
+    /// A client has its final response and may linger until it has read it.
     pub(super) fn linger(&mut self, id: TransactionId) {
-        self.forget_stranger(id);
-        let Some(seat) = self.seats.get_mut(&id) else { return };
-        self.held = self.held - seat.0.descriptors() + 1;
-        seat.0 = Kind::Lingering;
+        self.forget_pending(id);
+        let Some(entry) = self.clients.get_mut(&id) else { return };
+        self.held = self.held - entry.0.descriptors() + 1;
+        entry.0 = Kind::Lingering;
         self.lingering.insert(id);
         if self.lingering.len() > self.few {
             self.cut_short();
@@ -145,16 +145,16 @@
 
     /// A client's connection is closed.
     pub(super) fn leave(&mut self, id: TransactionId) {
-        self.forget_stranger(id);
-        if let Some((kind, _)) = self.seats.remove(&id) {
+        self.forget_pending(id);
+        if let Some((kind, _)) = self.clients.remove(&id) {
             self.held -= kind.descriptors();
             self.lingering.remove(&id);
         }
     }
 
-    fn forget_stranger(&mut self, id: TransactionId) {
-        if let Some((Kind::Stranger(turn), _)) = self.seats.get(&id) {
-            self.strangers.remove(&(*turn, id));
+    fn forget_pending(&mut self, id: TransactionId) {
+        if let Some((Kind::Pending(turn), _)) = self.clients.get(&id) {
+            self.pending.remove(&(*turn, id));
         }
     }
 
@@ -192,7 +192,7 @@
 
     /// Turns the client away, at once, that has done nothing about its first line for longest.
     fn dismiss(&mut self) -> bool {
-        let Some(&(_, idle)) = self.strangers.first() else { return false };
+        let Some(&(_, idle)) = self.pending.first() else { return false };
         self.send(idle, Command::Reject(FULL_MS));
         self.leave(idle);
         true
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -25,7 +25,7 @@
 /// hold descriptors and memory.
 const EXCHANGES: usize = 8;
 /// Descriptors that the link may take: its two sockets and the exchanges.
-pub(super) const SEATS: usize = EXCHANGES + 2;
+pub(super) const DESCRIPTORS: usize = EXCHANGES + 2;
 /// An exchange of the largest frames takes less on the slowest link that is still of use.
 const EXCHANGE: Duration = Duration::from_secs(5);
 /// Whoever does not take the connection by then is not there.
@@ -347,7 +347,7 @@
         Err(Unready::Ending) => Ready::Ending,
         Err(Unready::NoList | Unready::NoMember | Unready::Superseded) => Ready::NotReady,
     };
-    let (room, most) = node.seats.borrow().room();
+    let (room, most) = node.descriptors.borrow().room();
     let mut said = link.said.borrow_mut();
     said.ready = ready;
     said.up_ms = (node.clock.now() - node.clock.base) as u64;
@@ -400,30 +400,30 @@
     }
 }
 
-/// A seat of an exchange; it is given back however that ends.
-struct Seated(Rc<Link>);
+/// A descriptor of an exchange; it is given back however that ends.
+struct ExchangeSlot(Rc<Link>);
 
-impl Seated {
-    fn take(link: &Rc<Link>) -> Option<Seated> {
+impl ExchangeSlot {
+    fn take(link: &Rc<Link>) -> Option<ExchangeSlot> {
         let taken = link.exchanges.get();
         (taken < EXCHANGES).then(|| {
             link.exchanges.set(taken + 1);
-            Seated(link.clone())
+            ExchangeSlot(link.clone())
         })
     }
 }
 
-impl Drop for Seated {
+impl Drop for ExchangeSlot {
     fn drop(&mut self) {
         self.0.exchanges.set(self.0.exchanges.get().saturating_sub(1));
     }
 }
 
 fn call(node: &Rc<Node>, link: &Rc<Link>, to: SocketAddr) {
-    let Some(seat) = Seated::take(link) else { return };
+    let Some(slot) = ExchangeSlot::take(link) else { return };
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        let link = &seat.0;
+        let link = &slot.0;
         let _ = tokio::time::timeout(EXCHANGE, async {
             let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
             if !link.from.is_unspecified() && link.from.is_ipv4() == to.is_ipv4() {
@@ -440,11 +440,11 @@
 }
 
 fn answer(node: &Rc<Node>, link: &Rc<Link>, stream: TcpStream) {
-    let Some(seat) = Seated::take(link) else { return };
+    let Some(slot) = ExchangeSlot::take(link) else { return };
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        let exchange = seat.0.fleet.borrow_mut().answer();
-        let _ = tokio::time::timeout(EXCHANGE, exchanged(&node, &seat.0, stream, exchange)).await;
+        let exchange = slot.0.fleet.borrow_mut().answer();
+        let _ = tokio::time::timeout(EXCHANGE, exchanged(&node, &slot.0, stream, exchange)).await;
     });
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,12 +2,12 @@
 
 mod admin;
 mod agree;
+mod descriptors;
 mod fleet;
 mod log;
 mod probe;
 mod recorder;
 mod reload;
-mod seats;
 mod session;
 mod watch;
 
@@ -19,9 +19,9 @@
 use crate::front::{Front, Input};
 use crate::xmpp::Realm;
 use crate::{platform, xmpp};
+use descriptors::{DescriptorBudget, FULL_MS};
 use recorder::Recorder;
 use reload::Source;
-use seats::{FULL_MS, Seats};
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -86,8 +86,8 @@
     clock: Clock,
     log: Logger,
     broker: RefCell<Broker>,
-    seats: RefCell<Seats>,
-    /// Descriptors that are not for the seats: those of operators' calls.
+    descriptors: RefCell<DescriptorBudget>,
+    /// Descriptors that are not in the budget: those of operators' calls.
     kept_back: usize,
     /// Holds the lines about bad input to a rate.
     gate: RefCell<log::Gate>,
@@ -139,7 +139,7 @@
     fn carry_out(self: &Rc<Self>, order: Order) {
         match order {
             Order::Front(id, command) => {
-                self.seats.borrow().send(id, command);
+                self.descriptors.borrow().send(id, command);
             }
             Order::Probe { member, dial } => probe::probe(self, member, &dial),
             Order::Watch(on) => {
@@ -300,13 +300,13 @@
         }
         None => None,
     };
-    let fleet_seats = if config.fleet.is_some() { fleet::SEATS } else { 0 };
-    let kept_back = if admin.is_some() { admin::SEATS } else { 0 } + fleet_seats;
+    let fleet_descriptors = if config.fleet.is_some() { fleet::DESCRIPTORS } else { 0 };
+    let kept_back = if admin.is_some() { admin::DESCRIPTORS } else { 0 } + fleet_descriptors;
     let node = Rc::new(Node {
         clock,
         log,
         broker: RefCell::new(broker),
-        seats: RefCell::new(Seats::new(config.sockets.saturating_sub(kept_back))),
+        descriptors: RefCell::new(DescriptorBudget::new(config.sockets.saturating_sub(kept_back))),
         kept_back,
         gate: RefCell::default(),
         probes: RefCell::default(),
@@ -403,7 +403,7 @@
     while node.clock.now() < over {
         tokio::time::sleep(Duration::from_millis(20)).await;
         let closed = node.clock.now() > began + linger;
-        if closed && node.broker.borrow().transactions() == 0 && node.seats.borrow().is_empty() {
+        if closed && node.broker.borrow().transactions() == 0 && node.descriptors.borrow().is_empty() {
             break;
         }
     }
@@ -457,7 +457,7 @@
         };
         let id = node.broker.borrow_mut().next_id();
         let (send, commands) = mpsc::unbounded_channel();
-        let (room, gave_way) = node.seats.borrow_mut().enter(node.clock.now(), id, send);
+        let (room, gave_way) = node.descriptors.borrow_mut().enter(node.clock.now(), id, send);
         node.gave_way(gave_way);
         let mut front = front(node.clock.now());
         if !room {
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -20,7 +20,7 @@
     {
         return;
     }
-    if !node.seats.borrow_mut().take_one() {
+    if !node.descriptors.borrow_mut().take_one() {
         return node.with(|broker, now| broker.probed(now, member, Outcome::NotSent, None, None));
     }
     let (send, asked) = mpsc::channel(1);
@@ -44,7 +44,7 @@
     }
     asked.close();
     drop(kept);
-    node.seats.borrow_mut().give_back();
+    node.descriptors.borrow_mut().give_back();
     let mut probes = node.probes.borrow_mut();
     if probes.get(&member).is_some_and(mpsc::Sender::is_closed) {
         probes.remove(&member);
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -57,7 +57,7 @@
     let discovery = new.discovery.map_or_else(String::new, |address| address.to_string());
     info!(node.log, "configuration taken"; "discovery" => discovery, "sockets" => new.sockets,
         "waits_for_restart" => waits.join(" "));
-    node.seats.borrow_mut().resize(new.sockets.saturating_sub(node.kept_back));
+    node.descriptors.borrow_mut().resize(new.sockets.saturating_sub(node.kept_back));
     old.sockets = new.sockets;
     old.discovery = new.discovery;
     node.with(|broker, now| broker.reloaded(now, true));
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -1,7 +1,7 @@
 //! One client connection: reads and writes for its front.
 
 use super::Node;
-use super::seats::FULL_MS;
+use super::descriptors::FULL_MS;
 use crate::api::{ClassId, Millis};
 use crate::broker::{Command, Said, TransactionId};
 use crate::front::{Front, Input, Step};
@@ -49,7 +49,7 @@
     let end = drive(&node, id, peer, &client, front.as_mut(), &mut commands).await;
     match end {
         End::Finish => {
-            node.seats.borrow_mut().linger(id);
+            node.descriptors.borrow_mut().linger(id);
             let mut last = std::mem::take(front.to_client());
             // One that has given way already still hears why, as far as its socket takes it at once.
             let _ = write(&client, &mut last);
@@ -64,7 +64,7 @@
         }
     }
     // Only now: a node that leaves must not end while a last word is still being written.
-    node.seats.borrow_mut().leave(id);
+    node.descriptors.borrow_mut().leave(id);
 }
 
 enum End {
@@ -94,14 +94,14 @@
     let _ = tokio::time::timeout(FLUSH, last).await;
 }
 
-/// Ends when the session's seat has been taken away.
+/// Ends when the session has had to give way.
 async fn given_way(commands: &mut UnboundedReceiver<Command>) {
     while commands.recv().await.is_some() {}
 }
 
 /// Whether there is room for the transaction that the client asks for.
-fn seated(node: &Rc<Node>, id: TransactionId, peer: SocketAddr, class: ClassId) -> bool {
-    let (room, gave_way) = node.seats.borrow_mut().open(id);
+fn has_room(node: &Rc<Node>, id: TransactionId, peer: SocketAddr, class: ClassId) -> bool {
+    let (room, gave_way) = node.descriptors.borrow_mut().open(id);
     node.gave_way(gave_way);
     if !room {
         node.no_room(id, peer, Some(class));
@@ -127,7 +127,7 @@
                 Step::Say(said) => {
                     asked |= matches!(said, Said::Ask(_));
                     if let Said::Ask(ask) = &said
-                        && !seated(node, id, peer, ask.class)
+                        && !has_room(node, id, peer, ask.class)
                     {
                         front.take(node.clock.now(), Input::Command(Command::Reject(FULL_MS)));
                     } else {
@@ -233,7 +233,7 @@
                 }
                 Ok(read) => {
                     if !asked {
-                        node.seats.borrow_mut().wrote(now, id);
+                        node.descriptors.borrow_mut().wrote(now, id);
                     }
                     front.take(now, Input::Client(&buffer[..read]));
                 }
