--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -199,11 +199,32 @@
     pub born_ms: f64,
 }
 
+/// How discovery delivers its answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Delivery {
+    /// An answer with news begins so long after it is due: discovery is crowded.
+    pub begins_after: Duration,
+    /// And is written in even pieces over this time: discovery is slow.
+    pub over: Duration,
+    /// It takes calls and answers none.
+    pub silent: bool,
+    /// A call that names a version is answered with what has changed since, not with the whole list.
+    pub changes: bool,
+}
+
+/// Pieces in which a slow answer is written.
+const PIECES: usize = 40;
+
+/// What discovery holds, with the version in which each entry changed last.
+type Entries = Arc<Mutex<BTreeMap<String, (u64, Listed)>>>;
+
 /// Discovery: the whole list, and a watch on it, over HTTP/1.1.
 pub struct Discovery {
     address: SocketAddr,
-    list: Arc<Mutex<BTreeMap<String, Listed>>>,
+    list: Entries,
     seq: watch::Sender<u64>,
+    delivery: Arc<Mutex<Delivery>>,
+    written: Arc<AtomicU64>,
 }
 
 impl Discovery {
@@ -213,15 +234,28 @@
     /// If it can't.
     pub fn start(stage: &Stage) -> io::Result<Discovery> {
         let (listener, address) = stage.listen()?;
-        let list: Arc<Mutex<BTreeMap<String, Listed>>> = Arc::default();
         let (seq, changes) = watch::channel(1);
-        let of = list.clone();
+        let (list, delivery, written) = (Entries::default(), Arc::default(), Arc::default());
+        let discovery = Discovery { address, list, seq, delivery, written };
+        let (list, delivery, written) =
+            (discovery.list.clone(), discovery.delivery.clone(), discovery.written.clone());
         stage.handle.spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(answer(stream, of.clone(), changes.clone()));
+                let (list, delivery, written) = (list.clone(), delivery.clone(), written.clone());
+                tokio::spawn(answer(stream, list, changes.clone(), delivery, written));
             }
         });
-        Ok(Discovery { address, list, seq })
+        Ok(discovery)
+    }
+
+    /// How it delivers its answers from now on.
+    pub fn deliver(&self, delivery: Delivery) {
+        *self.delivery.lock().unwrap_or_else(PoisonError::into_inner) = delivery;
+    }
+
+    /// Bytes of answers that it has written.
+    pub fn written(&self) -> u64 {
+        self.written.load(Relaxed)
     }
 
     /// Where it listens.
@@ -231,16 +265,27 @@
 
     /// Puts a member on the list, or changes it; watches hear of it at once.
     pub fn set(&self, name: &str, dial: &str, health: &'static str) {
-        let listed = Listed { dial: dial.to_owned(), health, born_ms: 0.0 };
-        self.list.lock().unwrap_or_else(PoisonError::into_inner).insert(name.to_owned(), listed);
-        self.seq.send_modify(|seq| *seq += 1);
+        self.set_all(&[(name.to_owned(), Listed { dial: dial.to_owned(), health, born_ms: 0.0 })]);
+    }
+
+    /// Puts many members on the list, or changes them, in one version.
+    pub fn set_all(&self, members: &[(String, Listed)]) {
+        let seq = *self.seq.borrow() + 1;
+        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, listed) in members {
+            list.insert(name.clone(), (seq, listed.clone()));
+        }
+        drop(list);
+        self.seq.send_replace(seq);
     }
 }
 
 async fn answer(
     stream: TcpStream,
-    list: Arc<Mutex<BTreeMap<String, Listed>>>,
+    list: Entries,
     mut changes: watch::Receiver<u64>,
+    delivery: Arc<Mutex<Delivery>>,
+    written: Arc<AtomicU64>,
 ) -> io::Result<()> {
     let (from, mut to) = stream.into_split();
     let mut lines = BufReader::new(from.take(1 << 30)).lines();
@@ -257,28 +302,58 @@
             let (_, rest) = call.split_once(name)?;
             rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u64>().ok()
         };
-        if let (Some(since), Some(wait)) = (number("since="), number("timeout_ms=")) {
+        let since = number("since=");
+        if let (Some(since), Some(wait)) = (since, number("timeout_ms=")) {
             let newer = changes.wait_for(|seq| *seq > since);
             let _ = tokio::time::timeout(Duration::from_millis(wait.min(60_000)), newer).await;
         }
+        let now = || *delivery.lock().unwrap_or_else(PoisonError::into_inner);
+        if now().silent {
+            std::future::pending::<()>().await;
+        }
         let seq = *changes.borrow();
-        let news = number("since=").is_none_or(|since| seq > since);
-        let body = body(seq, news, &list.lock().unwrap_or_else(PoisonError::into_inner)).to_string();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        to.write_all((head + &body).as_bytes()).await?;
+        let news = since.is_none_or(|since| seq > since);
+        if news {
+            tokio::time::sleep(now().begins_after).await;
+        }
+        let from = since.filter(|since| now().changes && *since > 1);
+        let body = body(seq, news, from, &list.lock().unwrap_or_else(PoisonError::into_inner)).to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        written.fetch_add(answer.len() as u64, Relaxed);
+        let over = if news { now().over } else { Duration::ZERO };
+        write_over(&mut to, answer.as_bytes(), over).await?;
+    }
+    Ok(())
+}
+
+/// Writes in even pieces over this time.
+async fn write_over(
+    to: &mut tokio::net::tcp::OwnedWriteHalf,
+    bytes: &[u8],
+    over: Duration,
+) -> io::Result<()> {
+    if over.is_zero() {
+        return to.write_all(bytes).await;
+    }
+    for piece in bytes.chunks(bytes.len().div_ceil(PIECES)) {
+        to.write_all(piece).await?;
+        tokio::time::sleep(over / PIECES as u32).await;
     }
     Ok(())
 }
 
-fn body(seq: u64, news: bool, list: &BTreeMap<String, Listed>) -> Value {
-    let host = |(name, listed): (&String, &Listed)| {
+/// The whole list, or what has changed after the version `from`; nobody where there are no news.
+fn body(seq: u64, news: bool, from: Option<u64>, list: &BTreeMap<String, (u64, Listed)>) -> Value {
+    let host = |(name, (_, listed)): (&String, &(u64, Listed))| {
         json!({"host": name, "dial": listed.dial, "site": "a", "block": 0, "health": listed.health,
             "share": 1.0, "born_ms": listed.born_ms})
     };
     // The whole list has no one that is gone.
-    let hosts: Vec<Value> =
-        list.iter().filter(|(_, listed)| news && listed.health != "Gone").map(host).collect();
-    json!({"seq": seq, "whole": news, "hosts": hosts})
+    let wanted = |(_, (changed, listed)): &(&String, &(u64, Listed))| {
+        news && from.map_or(listed.health != "Gone", |from| *changed > from)
+    };
+    let hosts: Vec<Value> = list.iter().filter(wanted).map(host).collect();
+    json!({"seq": seq, "whole": news && from.is_none(), "hosts": hosts})
 }
 
 /// A client on the line protocol.
