--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -41,6 +41,28 @@
     }
 }
 
+/// How many descriptors are held for what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Usage {
+    /// Clients whose first line is not whole.
+    pub(super) pending: usize,
+    /// Clients that have asked, with those of their members.
+    pub(super) open: usize,
+    /// Clients that have their final response.
+    pub(super) lingering: usize,
+    /// Probes.
+    pub(super) probes: usize,
+    /// All that there are for these.
+    pub(super) most: usize,
+}
+
+impl std::fmt::Display for Usage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Usage { pending, open, lingering, probes, most } = self;
+        write!(f, "pending={pending} open={open} lingering={lingering} probes={probes} most={most}")
+    }
+}
+
 /// Who holds descriptors.
 pub(super) struct DescriptorBudget {
     most: usize,
@@ -70,6 +92,14 @@
         (self.most, self.few) = DescriptorBudget::sizes(sockets);
     }
 
+    /// Who holds how many.
+    pub(super) fn usage(&self) -> Usage {
+        let (pending, lingering) = (self.pending.len(), self.lingering.len());
+        let open = 2 * (self.clients.len() - pending - lingering);
+        let probes = self.held.saturating_sub(pending + open + lingering);
+        Usage { pending, open, lingering, probes, most: self.most }
+    }
+
     /// Transactions that could still be taken in, and the most there could ever be: each may need two descriptors.
     pub(super) fn room(&self) -> (usize, usize) {
         (self.most.saturating_sub(self.held) / 2, self.most / 2)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -201,7 +201,8 @@
         if clients > 0 {
             self.broker.borrow_mut().crowded_out(clients);
             if self.may_log() {
-                info!(self.log, "silent clients gave way"; "clients" => clients);
+                let held = self.descriptors.borrow().usage();
+                info!(self.log, "silent clients gave way"; "clients" => clients, "held" => %held);
             }
         }
     }
@@ -209,7 +210,10 @@
     fn no_room(&self, id: TransactionId, peer: SocketAddr, asked: Option<ClassId>) {
         self.broker.borrow_mut().no_room(asked);
         if self.may_log() {
-            warn!(self.log, "too many connections"; "transaction" => id.0, "client" => %peer);
+            let held = self.descriptors.borrow().usage();
+            let (asked, client) = (asked.is_some(), peer);
+            warn!(self.log, "too many connections"; "transaction" => id.0, "client" => %client,
+                "asked" => asked, "held" => %held);
         }
     }
 
