Bound probes by a node's own traffic, and let them give way to clients

Cause: a node that starts asked every listed host at once where hosts are at least as many as nodes (Broker::measure), and each probe took a descriptor that a client needed: clients whose line was not read yet were turned away for it (Seats::take_one).

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -142,6 +142,8 @@
     probes,
     /// Probes answered.
     probes_answered,
+    /// Probes given up, or their resting connections closed, since clients needed the descriptors.
+    probes_gave_way,
     /// Lists and changes that discovery gave.
     lists,
     /// Calls to discovery that failed.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -12,6 +12,7 @@
 mod moves;
 mod permit;
 mod pool;
+mod probing;
 mod requests;
 mod tape;
 mod timers;
@@ -32,6 +33,7 @@
 use leaving::{Ending, Leaving, Spread};
 use pool::Pool;
 pub use pool::Unfit;
+use probing::Probing;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use tape::Tape;
 use timers::Timers;
@@ -40,12 +42,6 @@
 const ADOPT_PAUSE_MS: Millis = 500.0;
 /// Attempts of one transaction, whatever the settings say.
 const MOST_FLOWS: u32 = 6;
-/// A node that has just started knows no member's load, and places what comes on those that it likes best: the clients
-/// of the process before it, all at once. For so long it asks all members, unless nodes are more than members: there
-/// each node's clients are few, and members would hear of nothing but probes.
-const LOOK_ROUND_MS: Millis = 10_000.0;
-/// How often members that hold connections are asked how long a message takes there.
-const MEASURE_MS: Millis = 1_000.0;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
@@ -109,10 +105,7 @@
     /// Attempts that wait for that.
     parked: BTreeMap<TransactionId, BackendId>,
     delays: Delays,
-    looks_round_until: Millis,
-    nodes: usize,
-    /// Members with a probe out, and whether the module waits for it.
-    probes: BTreeMap<BackendId, bool>,
+    probing: Probing,
     timers: Timers<Due>,
     events: VecDeque<Event>,
     handling: bool,
@@ -139,9 +132,7 @@
             connect_ms: settings.connect_timeout_ms,
             most_flows: settings.most_tries.clamp(1, MOST_FLOWS),
             delays,
-            looks_round_until: now + LOOK_ROUND_MS,
-            nodes: settings.balancers as usize,
-            probes: BTreeMap::new(),
+            probing: Probing::new(now, &settings, seed),
             balancer: crate::Balancer::new(settings, seed),
             next: 0,
             transactions: BTreeMap::new(),
@@ -354,45 +345,10 @@
 
     /// So many nodes share the pool, this one included, as far as its view of the fleet tells.
     pub fn sharing(&mut self, now: Millis, nodes: u32) {
-        self.nodes = nodes as usize;
+        self.probing.sharing(nodes);
         self.feed(now, Event::Sharing(nodes));
     }
 
-    /// A probe has ended. `message_ms` is how long a message takes there, as the member reports it.
-    pub fn probed(
-        &mut self,
-        now: Millis,
-        member: BackendId,
-        outcome: Outcome,
-        report: Option<Report>,
-        message_ms: Option<Millis>,
-    ) {
-        self.counters.probes_answered += u64::from(outcome == Outcome::Ok);
-        let load = report.and_then(|report| report.load_over_capacity);
-        self.log(LogLine::Probed(self.pool.name(member), outcome, load, message_ms));
-        self.tape.note(now, || {
-            let (load, message_ms) = (load.map(|load| load as f32), message_ms.map(|ms| ms as f32));
-            record::Probed { member: tape::number(member), outcome: outcome.into(), load, message_ms }.into()
-        });
-        // The module hears of the probes that it asked for, as in the simulator, and of what the others report: a
-        // report not passed on leaves it with an older one.
-        if self.probes.remove(&member) == Some(true) || outcome == Outcome::Ok {
-            self.feed(now, Event::ProbeEnded { backend: member, outcome, report });
-        }
-        if let Some(message_ms) = message_ms {
-            let told = self.delays.reported(now, member, message_ms);
-            self.tell_delay(now, member, told);
-        }
-    }
-
-    fn tell_delay(&mut self, now: Millis, member: BackendId, told: Option<Millis>) {
-        let Some(took_ms) = told else { return };
-        self.log(LogLine::Slow(self.pool.name(member), took_ms));
-        let delay = record::Delay { member: tape::number(member), took_ms: took_ms as f32 };
-        self.tape.note(now, || delay.into());
-        self.feed(now, Event::MessageDelay { backend: member, took_ms });
-    }
-
     // ---- What fronts say ----
 
     /// Takes what a front says of a transaction.
@@ -473,12 +429,7 @@
             }
             Action::Refuse { id, retry_after_ms } => self.answer(now, id, Command::Reject(retry_after_ms)),
             Action::Fail { id } => self.answer(now, id, Command::Fail(Failure::GivenUp)),
-            Action::Probe { backend } if self.probe(backend) => {
-                self.probes.insert(backend, true);
-            }
-            Action::Probe { backend } => {
-                self.events.push_back(Event::ProbeEnded { backend, outcome: Outcome::NotSent, report: None })
-            }
+            Action::Probe { backend } => self.probe_for_module(backend),
             Action::Subscribe { on } => {
                 if on != std::mem::replace(&mut self.watching, on) {
                     self.orders.push_back(Order::Watch(on));
@@ -496,36 +447,6 @@
         }
     }
 
-    /// Sends a probe unless one is out; says whether one is out now.
-    fn probe(&mut self, member: BackendId) -> bool {
-        if self.probes.contains_key(&member) {
-            return true;
-        }
-        let Some(dial) = self.pool.dial(member) else { return false };
-        self.counters.probes += 1;
-        self.probes.insert(member, false);
-        self.orders.push_back(Order::Probe { member, dial });
-        true
-    }
-
-    /// No note on message delay comes over sockets. Where this node holds connections it asks for itself, so
-    /// that the module is told as often as the simulator would tell it.
-    fn measure(&mut self, now: Millis) {
-        let holds = |t: &&Transaction| t.stage == Stage::Up;
-        let mut asked: BTreeSet<_> =
-            self.transactions.values().filter(holds).filter_map(|t| t.member).collect();
-        if now < self.looks_round_until && self.nodes <= self.pool.members().count() {
-            asked.extend(self.pool.members().map(|(id, _)| id));
-        }
-        for member in asked {
-            // One that drains is asked nothing more.
-            if self.pool.serving(member) && self.delays.asks(now, member) {
-                self.probe(member);
-            }
-        }
-        self.timers.set(now + MEASURE_MS, Due::Measure);
-    }
-
     fn log(&mut self, line: LogLine) {
         self.orders.push_back(Order::Log(line));
     }
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,19 +1,25 @@
 //! The descriptor budget: how many descriptors the node's sockets take, and who gives way when they run short.
 //!
 //! A client without a whole first line (pending) holds one descriptor, one whose transaction is open may need two, and one
-//! that has its final response (lingering close) holds one until it is gone. The last kind is bounded and gives way first, the oldest before
-//! the others; then the first kind, whoever has done nothing for longest. They may fill what nobody else needs: guards
-//! against silent clients that crowd out real ones, and against real ones that write slowly being taken for silent.
+//! that has its final response (lingering close) holds one until it is gone. A probe of a member holds one, too.
+//!
+//! For a client, others give way in this order: lingering closes, the oldest first; pending clients that have done nothing
+//! for [`GRACE_MS`], whoever has done nothing for longest; probes; the pending clients that are left. For a probe only the
+//! second kind does, and probes together hold a part of all. Guards against probes that take what clients need, silent
+//! clients that crowd out real ones, and real ones that write slowly, or have just connected, being taken for silent.
 
-use crate::api::Millis;
+use crate::api::{BackendId, Millis};
 use crate::broker::{Command, TransactionId};
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
 
 /// Descriptors that are no connection of a client, a member, discovery or an operator: streams, listeners, the runtime's.
 const BASE: usize = 20;
-/// Part of all descriptors that clients in a lingering close may hold.
+/// Part of all descriptors that clients in a lingering close may hold, and as much again probes.
 const PART: usize = 8;
+/// A client that has just connected has so long for its line to be read before it gives way to a probe.
+const GRACE_MS: Millis = 1_000.0;
 /// Bytes of a first line count for so much time: one that writes on stays before one that says nothing, but one that
 /// has stopped half way not for long, and a client whose line is still on its way before that one.
 const BYTES_MS: Millis = 500.0;
@@ -71,6 +77,18 @@
     clients: BTreeMap<TransactionId, (Kind, UnboundedSender<Command>)>,
     pending: BTreeSet<(Turn, TransactionId)>,
     lingering: BTreeSet<TransactionId>,
+    /// Probes, and what ends each.
+    probes: BTreeMap<BackendId, AbortHandle>,
+}
+
+/// Who had to give way for somebody else.
+#[derive(Debug, Default, PartialEq, Eq)]
+#[must_use]
+pub(super) struct GaveWay {
+    /// Clients without a first line: they were turned away.
+    pub(super) clients: u64,
+    /// Members whose probes were given up.
+    pub(super) probes: Vec<BackendId>,
 }
 
 impl DescriptorBudget {
@@ -84,6 +102,7 @@
             clients: BTreeMap::new(),
             pending: BTreeSet::new(),
             lingering: BTreeSet::new(),
+            probes: BTreeMap::new(),
         }
     }
 
@@ -96,8 +115,7 @@
     pub(super) fn usage(&self) -> Usage {
         let (pending, lingering) = (self.pending.len(), self.lingering.len());
         let open = 2 * (self.clients.len() - pending - lingering);
-        let probes = self.held.saturating_sub(pending + open + lingering);
-        Usage { pending, open, lingering, probes, most: self.most }
+        Usage { pending, open, lingering, probes: self.probes.len(), most: self.most }
     }
 
     /// Transactions that could still be taken in, and the most there could ever be: each may need two descriptors.
@@ -121,14 +139,14 @@
         self.clients.is_empty()
     }
 
-    /// A client has connected. Returns whether there is room, and how many had to give way for it.
+    /// A client has connected. Returns whether there is room, and who had to give way for it.
     pub(super) fn enter(
         &mut self,
         now: Millis,
         id: TransactionId,
         commands: UnboundedSender<Command>,
-    ) -> (bool, u64) {
-        let (room, gave_way) = self.make_room(1);
+    ) -> (bool, GaveWay) {
+        let (room, gave_way) = self.make_room(now);
         if room {
             self.held += 1;
             self.pending.insert((turn(now), id));
@@ -147,10 +165,10 @@
     }
 
     /// A client has asked: from now on it may need a descriptor for its member, too.
-    pub(super) fn open(&mut self, id: TransactionId) -> (bool, u64) {
+    pub(super) fn open(&mut self, now: Millis, id: TransactionId) -> (bool, GaveWay) {
         // It must not give way for itself.
         self.forget_pending(id);
-        let (room, gave_way) = self.make_room(1);
+        let (room, gave_way) = self.make_room(now);
         match self.clients.get_mut(&id) {
             Some(entry) if room => {
                 self.held += 1;
@@ -188,31 +206,63 @@
         }
     }
 
-    /// Takes a descriptor for a probe or a call to discovery.
-    pub(super) fn take_one(&mut self) -> bool {
-        let (room, _) = self.make_room(1);
-        self.held += usize::from(room);
-        room
+    /// Whether a probe may begin, and who had to give way for it. [`DescriptorBudget::probe_began`] takes its descriptor.
+    pub(super) fn may_probe(&mut self, now: Millis) -> (bool, GaveWay) {
+        let mut gave_way = GaveWay::default();
+        if self.probes.len() >= self.few {
+            return (false, gave_way);
+        }
+        while self.held >= self.most {
+            if !self.dismiss_before(now - GRACE_MS) {
+                return (false, gave_way);
+            }
+            gave_way.clients += 1;
+        }
+        (true, gave_way)
+    }
+
+    /// A probe of this member has begun; `task` ends it.
+    pub(super) fn probe_began(&mut self, member: BackendId, task: AbortHandle) {
+        if self.probes.insert(member, task).is_none() {
+            self.held += 1;
+        }
     }
 
-    /// Gives it back.
-    pub(super) fn give_back(&mut self) {
-        self.held = self.held.saturating_sub(1);
+    /// It has ended by itself.
+    pub(super) fn probe_ended(&mut self, member: BackendId) {
+        if self.probes.remove(&member).is_some() {
+            self.held -= 1;
+        }
     }
 
-    fn make_room(&mut self, wanted: usize) -> (bool, u64) {
-        let mut gave_way = 0;
-        while self.held + wanted > self.most {
-            if !self.cut_short() {
-                if !self.dismiss() {
-                    return (false, gave_way);
-                }
-                gave_way += 1;
+    /// Makes room for one descriptor of a client.
+    fn make_room(&mut self, now: Millis) -> (bool, GaveWay) {
+        let mut gave_way = GaveWay::default();
+        while self.held >= self.most {
+            if self.cut_short() {
+                continue;
+            }
+            if self.dismiss_before(now - GRACE_MS) {
+                gave_way.clients += 1;
+            } else if let Some(member) = self.give_up_probe() {
+                gave_way.probes.push(member);
+            } else if self.dismiss_before(f64::INFINITY) {
+                gave_way.clients += 1;
+            } else {
+                return (false, gave_way);
             }
         }
         (true, gave_way)
     }
 
+    /// Ends a probe for somebody else's sake; says whose.
+    fn give_up_probe(&mut self) -> Option<BackendId> {
+        let (member, task) = self.probes.pop_first()?;
+        task.abort();
+        self.held -= 1;
+        Some(member)
+    }
+
     /// Closes the oldest connection that lingers: without its sender its session ends.
     fn cut_short(&mut self) -> bool {
         let Some(&oldest) = self.lingering.first() else { return false };
@@ -220,9 +270,13 @@
         true
     }
 
-    /// Turns the client away, at once, that has done nothing about its first line for longest.
-    fn dismiss(&mut self) -> bool {
-        let Some(&(_, idle)) = self.pending.first() else { return false };
+    /// Turns the client away, at once, that has done nothing about its first line for longest, if that is since before this
+    /// time.
+    fn dismiss_before(&mut self, before: Millis) -> bool {
+        let Some(&(last, idle)) = self.pending.first() else { return false };
+        if before.is_finite() && last >= turn(before) {
+            return false;
+        }
         self.send(idle, Command::Reject(FULL_MS));
         self.leave(idle);
         true
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,7 +19,7 @@
 use crate::front::{Front, Input};
 use crate::xmpp::Realm;
 use crate::{platform, xmpp};
-use descriptors::{DescriptorBudget, FULL_MS};
+use descriptors::{DescriptorBudget, FULL_MS, GaveWay};
 use recorder::Recorder;
 use reload::Source;
 use slog::{Logger, debug, info, warn};
@@ -196,8 +196,13 @@
         }
     }
 
-    /// Clients without a first line were turned away so that others find room.
-    fn gave_way(&self, clients: u64) {
+    /// Clients without a first line were turned away, or probes given up, so that others find room.
+    fn gave_way(self: &Rc<Self>, gave_way: GaveWay) {
+        let GaveWay { clients, probes } = gave_way;
+        for member in probes {
+            self.probes.borrow_mut().remove(&member);
+            self.with(|broker, now| broker.probe_gave_way(now, member));
+        }
         if clients > 0 {
             self.broker.borrow_mut().crowded_out(clients);
             if self.may_log() {
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -20,16 +20,20 @@
     {
         return;
     }
-    if !node.descriptors.borrow_mut().take_one() {
+    let (may, gave_way) = node.descriptors.borrow_mut().may_probe(node.clock.now());
+    node.gave_way(gave_way);
+    if !may {
         return node.with(|broker, now| broker.probed(now, member, Outcome::NotSent, None, None));
     }
     let (send, asked) = mpsc::channel(1);
     if send.try_send(address).is_ok() {
         node.probes.borrow_mut().insert(member, send);
-        tokio::task::spawn_local(run(node.clone(), member, asked));
+        let task = tokio::task::spawn_local(run(node.clone(), member, asked));
+        node.descriptors.borrow_mut().probe_began(member, task.abort_handle());
     }
 }
 
+/// Probes one member while that is asked for. It may be aborted where it waits: whoever does that keeps the books.
 async fn run(node: Rc<Node>, member: BackendId, mut asked: mpsc::Receiver<SocketAddr>) {
     let mut kept = None;
     while let Ok(Some(address)) = tokio::time::timeout(node.keepalive, asked.recv()).await {
@@ -44,7 +48,7 @@
     }
     asked.close();
     drop(kept);
-    node.descriptors.borrow_mut().give_back();
+    node.descriptors.borrow_mut().probe_ended(member);
     let mut probes = node.probes.borrow_mut();
     if probes.get(&member).is_some_and(mpsc::Sender::is_closed) {
         probes.remove(&member);
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -101,7 +101,7 @@
 
 /// Whether there is room for the transaction that the client asks for.
 fn has_room(node: &Rc<Node>, id: TransactionId, peer: SocketAddr, class: ClassId) -> bool {
-    let (room, gave_way) = node.descriptors.borrow_mut().open(id);
+    let (room, gave_way) = node.descriptors.borrow_mut().open(node.clock.now(), id);
     node.gave_way(gave_way);
     if !room {
         node.no_room(id, peer, Some(class));
