Take up connections from before the run where they stood, whenever the list comes

Cause: Broker::asked settled by the list at hand whether the member of an at= connection is there; one not named yet, or draining, was taken for gone and its connection placed at another. Six tries within 5 s were all, although the client has 40 s. Change: src/broker/adoption.rs waits for a list that names the member, and concludes that it is gone only when a list drops it or none has named it for as long as any change may take to be told; tries grow apart; a connection that never came up is no attempt; a draining member takes up what it held.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -88,6 +88,10 @@
     asks,
     /// Connections that had stood before the node started.
     adopted,
+    /// Such connections that waited for a list that names their member.
+    adoptions_awaited,
+    /// Tries of such connections that were made again after their member had not taken them.
+    adoptions_retried,
     /// First lines, or streams, that could not be read or said what can't be.
     bad_malformed,
     /// First lines, or stanzas before the answer, that were too long.
--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -7,27 +7,13 @@
 impl Broker {
     pub(super) fn attempt(&mut self, now: Millis, id: TransactionId, member: BackendId, timeout_ms: Millis) {
         match self.permit(now, id, member, timeout_ms) {
-            Ok(permit) => self.open(now, permit),
+            Ok(permit) => self.open(now, permit, self.connect_ms),
             Err(Denied::NotWaiting) => self.counters.permits_denied += 1,
             Err(Denied::List) => self.park(now, id, member, timeout_ms),
             Err(_) => self.withhold(now, id, member),
         }
     }
 
-    /// Goes back to the member that holds a connection from before the node began.
-    pub(super) fn open_adopted(
-        &mut self,
-        now: Millis,
-        id: TransactionId,
-        member: BackendId,
-        wait_ms: Millis,
-    ) {
-        match self.permit_adopted(now, id, member, wait_ms) {
-            Ok(permit) => self.open(now, permit),
-            Err(_) => self.answer(now, id, Command::Fail(Failure::NotAdopted)),
-        }
-    }
-
     /// The module asked for what may not be: it hears that nothing was sent.
     fn withhold(&mut self, now: Millis, id: TransactionId, member: BackendId) {
         let Some(t) = self.transactions.get(&id) else { return };
@@ -65,7 +51,8 @@
         self.feed(now, Event::Ended { id, attempt, backend, outcome, closed: false, report: None });
     }
 
-    pub(super) fn open(&mut self, now: Millis, permit: Permit) {
+    /// Begins the attempt; its connection is given up if it is not there within `connect_ms`.
+    pub(super) fn open(&mut self, now: Millis, permit: Permit, connect_ms: Millis) {
         let Permit { id, member, wait_ms } = permit;
         let Some(dial) = self.pool.dial(member) else { return };
         let name = self.pool.name(member);
@@ -85,7 +72,7 @@
             attempt,
             started_ago_ms: self.pool.started_at(member).map(|started| now - started),
         });
-        self.timers.set(now + self.connect_ms, Due::Connect(id, attempt));
+        self.timers.set(now + connect_ms, Due::Connect(id, attempt));
         self.timers.set(now + wait_ms, Due::Flow(id, attempt));
         self.orders.push_back(Order::Front(id, Command::Open { dial, member: name, wait_ms }));
     }
@@ -125,14 +112,9 @@
         }
         t.stage = Stage::Held;
         t.may_have_run |= may_have_run(outcome);
-        if t.adopted && !t.told {
-            // The module has not heard of it: an adopted connection goes to its member or nowhere.
-            if t.flows < self.most_flows && now + ADOPT_PAUSE_MS < t.deadline {
-                self.timers.set(now + ADOPT_PAUSE_MS, Due::Adopt(id));
-            } else {
-                self.answer(now, id, Command::Fail(Failure::NotAdopted));
-            }
-            return;
+        if t.adoption.is_some() && !t.told {
+            // The module has not heard of it.
+            return self.adoption_failed(now, id, outcome);
         }
         // What the member sent has reached the client, so that no other member can take over.
         let closed = stood || outcome == Outcome::Ok || t.committed;
@@ -152,7 +134,10 @@
     /// written yet, and a stream that is being negotiated, as each further step of that is new work.
     pub(super) fn end_beginnings(&mut self, now: Millis) {
         let doomed = |t: &&Transaction| {
-            let serving = t.member.is_some_and(|member| self.pool.serving(member));
+            let fits = |member| {
+                if t.adoption.is_some() { self.pool.listed(member) } else { self.pool.serving(member) }
+            };
+            let serving = t.member.is_some_and(fits);
             matches!(t.stage, Stage::Out { .. }) && (t.negotiates || !t.written) && !serving
         };
         let ids: Vec<_> = self
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -5,6 +5,7 @@
 //! into [`Order`]s. Every rule that both fronts must keep is kept here: one final answer per transaction in
 //! time, at most one flow out, nothing new to a member that drains or is gone.
 
+mod adoption;
 mod counters;
 mod delay;
 mod flows;
@@ -26,6 +27,7 @@
 use crate::config::Site;
 use crate::freshness::{CallFailure, Lease};
 use crate::pool::PoolList;
+use adoption::Adoption;
 use counters::{Classes, count_bad};
 use delay::Delays;
 use hopmoor_record as record;
@@ -38,8 +40,6 @@
 use tape::Tape;
 use timers::Timers;
 
-/// Pause before an adopted connection that its member did not take is tried there again.
-const ADOPT_PAUSE_MS: Millis = 500.0;
 /// Attempts of one transaction, whatever the settings say.
 const MOST_FLOWS: u32 = 6;
 
@@ -64,7 +64,12 @@
     asked: Millis,
     sent: Millis,
     deadline: Millis,
-    adopted: bool,
+    /// It stood before the run, and is to be taken up where it stood.
+    adoption: Option<Adoption>,
+    /// Attempts whose request was written whole.
+    attempts: u32,
+    /// Flows that do not count as attempts: those to a member that held its connection before, as far as nothing was written.
+    uncounted: u32,
     negotiates: bool,
     committed: bool,
     told: bool,
@@ -104,6 +109,8 @@
     lease: Lease,
     /// Attempts that wait for that.
     parked: BTreeMap<TransactionId, BackendId>,
+    /// Connections from before the run whose member the list does not name yet.
+    awaiting: BTreeSet<TransactionId>,
     delays: Delays,
     probing: Probing,
     timers: Timers<Due>,
@@ -141,6 +148,7 @@
             pool: Pool::default(),
             lease: Lease::unlimited(),
             parked: BTreeMap::new(),
+            awaiting: BTreeSet::new(),
             timers: Timers::default(),
             events: VecDeque::new(),
             handling: false,
@@ -176,6 +184,7 @@
     pub fn list_confirmed(&mut self, now: Millis) {
         self.lease.answered(now);
         self.unpark(now);
+        self.seek_awaited(now);
     }
 
     /// A call to discovery has failed.
@@ -373,6 +382,7 @@
                     && matches!(t.stage, Stage::Out { .. })
                     && !std::mem::replace(&mut t.written, true)
                 {
+                    t.attempts += 1;
                     self.classes.of(t.request.class).attempts += 1;
                 }
             }
@@ -464,13 +474,7 @@
                 Due::Flow(id, flow) if self.out(id, flow).is_some() => self.flow_due(now, id, flow),
                 Due::Connect(..) | Due::Flow(..) => {}
                 Due::Answer(id) => self.overdue(now, id),
-                Due::Adopt(id) => {
-                    let held = self.transactions.get(&id).filter(|t| t.stage == Stage::Held);
-                    let Some((member, left)) = held.and_then(|t| Some((t.member?, t.deadline - now))) else {
-                        continue;
-                    };
-                    self.open_adopted(now, id, member, left);
-                }
+                Due::Adopt(id) => self.seek_holder(now, id),
                 Due::Measure => self.measure(now),
                 Due::Leave => self.leave_step(now),
                 Due::Look => self.look(now),
--- a/src/broker/permit.rs
+++ b/src/broker/permit.rs
@@ -44,7 +44,10 @@
         member: BackendId,
         wait_ms: Millis,
     ) -> Result<Permit, Denied> {
-        let permit = self.permit_adopted(now, id, member, wait_ms)?;
+        let permit = self.permit_waiting(now, id, member, wait_ms, |t| t.flows - t.uncounted)?;
+        if !self.pool.serving(member) {
+            return Err(Denied::Member);
+        }
         if !self.lease.holds(now) {
             return Err(Denied::List);
         }
@@ -52,17 +55,30 @@
     }
 
     /// Leave to go back to the member that has held the connection since before the node began: its client names it, whatever
-    /// the age of the list.
+    /// the age of the list, and it holds the connection while it drains. Only what was written counts as an attempt.
     pub(super) fn permit_adopted(
         &self,
         now: Millis,
         id: TransactionId,
         member: BackendId,
         wait_ms: Millis,
+    ) -> Result<Permit, Denied> {
+        let permit = self.permit_waiting(now, id, member, wait_ms, |t| t.attempts)?;
+        if self.pool.listed(member) { Ok(permit) } else { Err(Denied::Member) }
+    }
+
+    /// What holds for every attempt: its request waits, has attempts and time left, and may be repeated.
+    fn permit_waiting(
+        &self,
+        now: Millis,
+        id: TransactionId,
+        member: BackendId,
+        wait_ms: Millis,
+        made: impl Fn(&Transaction) -> u32,
     ) -> Result<Permit, Denied> {
         let waiting = |t: &&Transaction| t.stage == Stage::Held;
         let t = self.transactions.get(&id).filter(waiting).ok_or(Denied::NotWaiting)?;
-        if t.flows >= self.most_flows {
+        if made(t) >= self.most_flows {
             return Err(Denied::Attempts);
         }
         let wait_ms = wait_ms.min(t.deadline - now);
@@ -72,9 +88,6 @@
         if t.may_have_run && self.effect(t) == Effect::SingleShot {
             return Err(Denied::Repeat);
         }
-        if !self.pool.serving(member) {
-            return Err(Denied::Member);
-        }
         Ok(Permit { id, member, wait_ms })
     }
 
--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -112,6 +112,11 @@
         self.members.get(&id).is_some_and(|member| member.phase == Phase::Serving)
     }
 
+    /// A listed member's state.
+    pub(super) fn phase(&self, id: BackendId) -> Option<Phase> {
+        self.members.get(&id).map(|member| member.phase)
+    }
+
     pub(super) fn listed(&self, id: BackendId) -> bool {
         self.members.contains_key(&id)
     }
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -42,8 +42,8 @@
             mid_flow: false,
         };
         let deadline = now + grace_ms;
-        let holder = ask.adopted.as_deref().and_then(|name| self.pool.named(name));
-        let holder = holder.filter(|member| self.pool.serving(*member));
+        let adoption = ask.adopted.as_deref().map(Adoption::new);
+        let stood = adoption.is_some();
         self.transactions.insert(
             id,
             Transaction {
@@ -51,24 +51,26 @@
                 request,
                 stage: Stage::Held,
                 flows: 0,
-                member: holder,
+                member: None,
                 member_name: String::new(),
                 asked: now,
                 sent: now,
                 deadline,
-                adopted: holder.is_some(),
+                adoption,
+                attempts: 0,
+                uncounted: 0,
                 negotiates: ask.negotiates,
                 committed: false,
-                told: holder.is_none(),
+                told: !stood,
                 written: false,
                 may_have_run: false,
             },
         );
         self.timers.set(deadline, Due::Answer(id));
-        match holder {
-            Some(member) => self.open_adopted(now, id, member, grace_ms),
-            // A holder that has gone since can't be asked: the connection is placed like a new one.
-            None => self.feed(now, Event::Request(request)),
+        if stood {
+            self.seek_holder(now, id);
+        } else {
+            self.feed(now, Event::Request(request));
         }
     }
 
@@ -77,7 +79,8 @@
             return;
         };
         t.stage = Stage::Up;
-        let (request, took_ms, adopted, member) = (t.request, now - t.sent, t.adopted, t.member);
+        let (request, took_ms, member) = (t.request, now - t.sent, t.member);
+        let adopted = t.adoption.is_some();
         self.classes.of(request.class).served += 1;
         t.told |= adopted;
         if self.tape.is_on()
@@ -85,9 +88,8 @@
         {
             self.tape.note(now, || tape::answered(now, t, record::Answer::Served).into());
         }
-        if let (true, Some(backend)) = (adopted, member) {
-            self.counters.adopted += 1;
-            self.feed(now, Event::Adopted { request, backend });
+        if let (true, Some(member)) = (adopted, member) {
+            self.taken_up(now, request, member);
         } else {
             self.feed(now, Event::Established { id, took_ms });
         }
@@ -170,6 +172,7 @@
     pub(super) fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
         let t = self.transactions.remove(&id)?;
         self.parked.remove(&id);
+        self.awaiting.remove(&id);
         if let Some(name) = &t.name {
             self.names.remove(name);
         }
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -2,17 +2,17 @@
 use super::*;
 use crate::pool::Member;
 
-struct Bench {
-    broker: Broker,
-    now: Millis,
+pub(super) struct Bench {
+    pub(super) broker: Broker,
+    pub(super) now: Millis,
     seen: Vec<(Millis, Order)>,
 }
 
-fn member(name: &str, phase: Phase) -> Member {
+pub(super) fn member(name: &str, phase: Phase) -> Member {
     Member { name: name.into(), dial: "127.0.0.1:9".into(), zone: 0, cell: 0, phase, weight: 1.0, born: None }
 }
 
-fn list(whole: bool, members: Vec<Member>) -> PoolList {
+pub(super) fn list(whole: bool, members: Vec<Member>) -> PoolList {
     PoolList { seq: 1, whole, members }
 }
 
@@ -30,7 +30,7 @@
     Site { settings, ..Site::default() }
 }
 
-fn ask() -> Ask {
+pub(super) fn ask() -> Ask {
     Ask {
         name: None,
         class: ClassId(0),
@@ -46,12 +46,12 @@
 }
 
 impl Bench {
-    fn new(names: &[&str]) -> Self {
+    pub(super) fn new(names: &[&str]) -> Self {
         Bench::beside(names, 1)
     }
 
     /// One of so many nodes.
-    fn beside(names: &[&str], nodes: u32) -> Self {
+    pub(super) fn beside(names: &[&str], nodes: u32) -> Self {
         let members = names.iter().map(|name| member(name, Phase::Serving)).collect();
         let mut site = site();
         site.settings.balancers = nodes;
@@ -67,18 +67,23 @@
         }
     }
 
-    fn hear(&mut self, id: TransactionId, said: Said) {
+    pub(super) fn hear(&mut self, id: TransactionId, said: Said) {
         self.broker.hear(self.now, id, said);
         self.collect();
     }
 
-    fn open(&mut self, ask: Ask) -> TransactionId {
+    pub(super) fn open(&mut self, ask: Ask) -> TransactionId {
         let id = self.broker.next_id();
         self.hear(id, Said::Ask(ask));
         id
     }
 
-    fn run(&mut self, until: Millis) {
+    pub(super) fn list(&mut self, list: PoolList) {
+        self.broker.listed(self.now, list).unwrap();
+        self.collect();
+    }
+
+    pub(super) fn run(&mut self, until: Millis) {
         while let Some(due) = self.broker.next_due().filter(|due| *due <= until) {
             self.now = self.now.max(due);
             self.broker.tick(self.now);
@@ -87,7 +92,7 @@
         self.now = until;
     }
 
-    fn commands(&self, id: TransactionId) -> Vec<Command> {
+    pub(super) fn commands(&self, id: TransactionId) -> Vec<Command> {
         let mine = |(_, order): &(Millis, Order)| match order {
             Order::Front(to, command) if *to == id => Some(command.clone()),
             _ => None,
@@ -95,13 +100,13 @@
         self.seen.iter().filter_map(mine).collect()
     }
 
-    fn answers(&self, id: TransactionId) -> usize {
+    pub(super) fn answers(&self, id: TransactionId) -> usize {
         let last = |command: &Command| matches!(command, Command::Reject(_) | Command::Fail(_));
         self.commands(id).iter().filter(|command| last(command)).count()
     }
 }
 
-fn opened(commands: &[Command]) -> Vec<String> {
+pub(super) fn opened(commands: &[Command]) -> Vec<String> {
     let member = |command: &Command| match command {
         Command::Open { member, .. } => Some(member.clone()),
         _ => None,
--- a/src/broker/words.rs
+++ b/src/broker/words.rs
@@ -159,6 +159,10 @@
     Fault(String),
     /// A transaction had no answer at its deadline; the broker failed it.
     Overdue(TransactionId),
+    /// A connection from before the run waits for a list that names its member.
+    AwaitsList(TransactionId),
+    /// The member that held a connection from before the run is gone: it is placed like a new one.
+    PlacedAnew(TransactionId),
     /// An attempt waits for an answer of discovery: the list at hand may have been overtaken.
     Parked(TransactionId),
     /// The module named a member that may not be sent to.
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -10,7 +10,7 @@
 use crate::api::Millis;
 
 /// A change counts as told so long after discovery had it and could be reached.
-const TOLD_MS: Millis = 6_000.0;
+pub(crate) const TOLD_MS: Millis = 6_000.0;
 /// And so long after a new configuration named another discovery.
 const MOVED_MS: Millis = 4_000.0;
 /// The process may be held up for so long between reading its clock and writing, and timers and sockets take their time.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -157,6 +157,12 @@
             LogLine::Module(what) => info!(self.log, "module"; "what" => what),
             LogLine::Fault(what) => slog::error!(self.log, "module fault"; "what" => what),
             LogLine::Overdue(id) => slog::error!(self.log, "answer overdue"; "transaction" => id.0),
+            LogLine::AwaitsList(id) => {
+                info!(self.log, "connection waits for the list that names its member"; "transaction" => id.0)
+            }
+            LogLine::PlacedAnew(id) => {
+                warn!(self.log, "member of a connection is gone"; "transaction" => id.0)
+            }
             LogLine::Parked(id) => debug!(self.log, "attempt waits for discovery"; "transaction" => id.0),
             LogLine::Withheld(id, member) => {
                 warn!(self.log, "send withheld"; "transaction" => id.0, "member" => member)
