Read an answer of discovery on while it is on course, and count it as old as its first byte

Cause: an answer was given up by its total time (LATE, LATE_IN_LINE in src/net/watch.rs) and begun anew from nothing, so that a list of thousands that takes longer than that was never had. Change: the first byte has the old limits; after it the answer is read on unless it stands still for 1 s or is not on course (20 s for one that tells its length). The lease counts from the first byte, since what came later may have been overtaken; after a slow answer the next call is answered at once.

--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -284,7 +284,7 @@
             Due::List { node, run } if self.nodes[node].run == run => {
                 let list = self.list(node);
                 // One that is older or names nobody is not taken: the node's own business.
-                let _ = self.with(node, |broker, now| broker.listed(now, list));
+                let _ = self.with(node, |broker, now| broker.listed(now, list, now));
             }
             Due::Gone(member, start) => {
                 if self.members[member].start == start && !self.members[member].up {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -180,9 +180,9 @@
         self.lease.holds(now)
     }
 
-    /// Discovery has answered that there is nothing new.
-    pub fn list_confirmed(&mut self, now: Millis) {
-        self.lease.answered(now);
+    /// Discovery has answered that there is nothing new, at the time `as_of`: an answer that took long to come is older than its end.
+    pub fn list_confirmed(&mut self, now: Millis, as_of: Millis) {
+        self.lease.answered(as_of);
         self.unpark(now);
         self.seek_awaited(now);
     }
@@ -301,17 +301,17 @@
 
     // ---- Pool ----
 
-    /// Discovery has answered.
+    /// Discovery has answered; what it says was so at the time `as_of`.
     ///
     /// # Errors
     /// If the list is not taken: the one at hand stands.
-    pub fn listed(&mut self, now: Millis, list: PoolList) -> Result<(), Unfit> {
+    pub fn listed(&mut self, now: Millis, list: PoolList, as_of: Millis) -> Result<(), Unfit> {
         self.pool.fits(&list)?;
         self.counters.lists += 1;
         self.log(LogLine::List { seq: list.seq, whole: list.whole });
         let scope = if list.whole { ListScope::Whole } else { ListScope::Patch };
         self.list(now, list, scope);
-        self.list_confirmed(now);
+        self.list_confirmed(now, as_of);
         self.set_ready();
         Ok(())
     }
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -79,7 +79,7 @@
     }
 
     pub(super) fn list(&mut self, list: PoolList) {
-        self.broker.listed(self.now, list).unwrap();
+        self.broker.listed(self.now, list, self.now).unwrap();
         self.collect();
     }
 
@@ -150,15 +150,15 @@
 #[test]
 fn nothing_new_goes_to_a_member_that_drains_or_is_gone() {
     let mut bench = Bench::new(&["a", "b"]);
-    bench.broker.listed(bench.now, list(false, vec![member("a", Phase::Draining)])).unwrap();
+    bench.list(list(false, vec![member("a", Phase::Draining)]));
     let ids: Vec<_> = (0..20).map(|_| bench.open(ask())).collect();
     for id in &ids {
         assert!(opened(&bench.commands(*id)).iter().all(|name| name == "b"));
     }
-    bench.broker.listed(bench.now, list(true, vec![member("a", Phase::Draining)])).unwrap();
+    bench.list(list(true, vec![member("a", Phase::Draining)]));
     let id = bench.open(ask());
     assert!(opened(&bench.commands(id)).is_empty(), "missing from a whole list: gone");
-    bench.broker.listed(bench.now, list(false, vec![member("a", Phase::Gone)])).unwrap();
+    bench.list(list(false, vec![member("a", Phase::Gone)]));
     let id = bench.open(ask());
     assert!(opened(&bench.commands(id)).is_empty());
 }
@@ -182,7 +182,7 @@
             bench.hear(id, Said::Sent);
         }
         let changes = vec![member("a", phase), member("b", Phase::Serving)];
-        bench.broker.listed(bench.now, list(false, changes)).unwrap();
+        bench.list(list(false, changes));
         bench.collect();
         let commands = bench.commands(id);
         let members = opened(&commands);
@@ -230,7 +230,7 @@
             bench.hear(id, Said::Committed);
         }
         let drains = vec![member("a", Phase::Draining), member("b", Phase::Serving)];
-        bench.broker.listed(bench.now, list(false, drains)).unwrap();
+        bench.list(list(false, drains));
         bench.collect();
         let commands = bench.commands(id);
         if committed {
@@ -275,11 +275,11 @@
     let id = bench.broker.next_id();
     bench.hear(id, Said::Ping);
     assert!(bench.commands(id).is_empty());
-    bench.broker.listed(bench.now, list(false, vec![])).unwrap();
+    bench.list(list(false, vec![]));
     bench.collect();
     assert_eq!(bench.commands(id), [Command::Ready]);
     assert_eq!(bench.broker.standing_by(), Ok(()));
-    bench.broker.listed(bench.now, list(false, vec![member("a", Phase::Gone)])).unwrap();
+    bench.list(list(false, vec![member("a", Phase::Gone)]));
     assert_eq!(bench.broker.standing_by(), Err(Unready::NoMember));
 }
 
@@ -459,7 +459,7 @@
         })
         .collect();
     let moved = |bench: &Bench| ids.iter().filter(|id| bench.commands(**id).contains(&Command::Move)).count();
-    bench.broker.listed(bench.now, list(false, vec![member("a", Phase::Draining)])).unwrap();
+    bench.list(list(false, vec![member("a", Phase::Draining)]));
     bench.collect();
     bench.run(2_500.0);
     assert!((6..=14).contains(&moved(&bench)), "{}", moved(&bench));
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -106,6 +106,14 @@
         }
     }
 
+    /// How long the body is, as far as the answer tells, in bytes.
+    pub fn length(&self) -> Option<usize> {
+        match self.head.as_ref()?.length {
+            Length::Fixed(length) => Some(length),
+            Length::Chunked | Length::ToEnd => None,
+        }
+    }
+
     /// The connection has ended; an answer without a length is whole now.
     ///
     /// # Errors
--- a/src/net/reload.rs
+++ b/src/net/reload.rs
@@ -26,7 +26,7 @@
             Source::Inventory(file) => match operator::pool(file) {
                 Ok(list) => {
                     let members = list.members.len();
-                    if let Err(unfit) = node.with(|broker, now| broker.listed(now, list)) {
+                    if let Err(unfit) = node.with(|broker, now| broker.listed(now, list, now)) {
                         return refuse(node, "inventory not taken", &config::ConfigError(unfit.to_string()));
                     }
                     info!(node.log, "inventory taken"; "members" => members);
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -17,8 +17,16 @@
 /// has it, whether it arrived or not: a watch that has gone silent is given up, and the next call answered, within that.
 const WAIT_MS: u64 = 2_000;
 const FIRST_WAIT_MS: u64 = 1;
-/// An answer that is this late will not come.
+/// An answer that is this late will not come; nor will the rest of one that stands still for so long.
 const LATE: Duration = Duration::from_millis(1_000);
+/// While an answer comes on it is read on, however long the list: one begun anew would take as long. After the first of these it
+/// has to be on course: one that tells its length to be whole within the second, one that doesn't to bring so many bytes a second, as
+/// it may never end.
+const READ_GRACE: Duration = LATE_IN_LINE;
+const READ_WITHIN: Duration = Duration::from_secs(20);
+const BYTES_A_SECOND: f64 = 16_384.0;
+/// After an answer that took longer than this to read the next call is answered at once: what was read may be overtaken.
+const SLOW: Duration = Duration::from_millis(500);
 /// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
 /// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
 /// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
@@ -72,9 +80,9 @@
 ) -> FailedCall {
     let authority = address.to_string();
     let mut stream = None;
-    let mut first = true;
+    let (mut first, mut slow) = (true, false);
     while node.watching.get() {
-        let wait = if first || fresh.is_some() { FIRST_WAIT_MS } else { WAIT_MS };
+        let wait = if first || slow || fresh.is_some() { FIRST_WAIT_MS } else { WAIT_MS };
         let request = if fresh.is_some() || std::mem::take(anew) {
             whole(&authority)
         } else {
@@ -95,11 +103,16 @@
             let failure = if prompt() { CallFailure::Down } else { CallFailure::Unanswered };
             FailedCall { failure, error }
         };
-        let reply = match tokio::time::timeout(limit, call(&mut stream, request)).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(error)) => return failed(error.to_string()),
-            Err(_) => return FailedCall::unanswered("no answer"),
+        let Answer { reply, began: answered } = match call(&mut stream, request, limit).await {
+            Ok(answer) => answer,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                return FailedCall::unanswered(&error.to_string());
+            }
+            Err(error) => return failed(error.to_string()),
         };
+        slow = answered.elapsed() > SLOW;
+        // What it says is as old as its first byte.
+        let since_answered = || answered.elapsed().as_secs_f64() * 1_000.0;
         if reply.status == UNAVAILABLE {
             return FailedCall { failure: CallFailure::Down, error: format!("status {}", reply.status) };
         }
@@ -112,11 +125,12 @@
         match decode(&reply.body, zones) {
             // An answer without news says nothing to the module, except that the watch has begun.
             Ok(list) if !first && list.says_nothing(node.broker.borrow().pool_seq()) => {
-                node.with(|broker, now| broker.list_confirmed(now));
+                node.with(|broker, now| broker.list_confirmed(now, now - since_answered()));
             }
             // The last pool is kept where it is not taken.
             Ok(list) => {
-                if let Err(unfit) = node.with(|broker, now| broker.listed(now, list)) {
+                let taken = node.with(|broker, now| broker.listed(now, list, now - since_answered()));
+                if let Err(unfit) = taken {
                     *anew = matches!(unfit, Unfit::Older { .. });
                     return FailedCall::unanswered(&format!("bad answer: {unfit}"));
                 }
@@ -146,19 +160,45 @@
     Ok(connected)
 }
 
-async fn call(stream: &mut Option<TcpStream>, request: String) -> io::Result<Reply> {
+/// How long after its first byte an answer may still be read that has brought so many bytes by now.
+fn on_course_until(received: usize, length: Option<usize>) -> Duration {
+    let received = received as f64;
+    let until = match length {
+        Some(length) => READ_WITHIN.mul_f64((received / length.max(1) as f64).min(1.0)),
+        None => READ_GRACE + Duration::from_secs_f64(received / BYTES_A_SECOND),
+    };
+    until.max(READ_GRACE)
+}
+
+/// A whole answer, and when its first byte came.
+struct Answer {
+    reply: Reply,
+    began: tokio::time::Instant,
+}
+
+/// Sends a call and reads its answer, whose first byte has to come within `first`.
+async fn call(stream: &mut Option<TcpStream>, request: String, first: Duration) -> io::Result<Answer> {
     let Some(open) = stream else { return Err(io::ErrorKind::NotConnected.into()) };
-    open.write_all(request.as_bytes()).await?;
+    let late = || io::Error::new(io::ErrorKind::TimedOut, "no answer");
+    let bad = |error| io::Error::new(io::ErrorKind::InvalidData, error);
     let mut call = Call::default();
-    let mut buffer = vec![0u8; 8 * 1024];
+    let mut buffer = vec![0u8; 16 * 1024];
+    let asked = async {
+        open.write_all(request.as_bytes()).await?;
+        open.read(&mut buffer).await
+    };
+    let mut read = tokio::time::timeout(first, asked).await.map_err(|_| late())??;
+    let began = tokio::time::Instant::now();
+    let mut received = 0;
     loop {
-        let read = open.read(&mut buffer).await?;
-        let bad = |error| io::Error::new(io::ErrorKind::InvalidData, error);
         if read == 0 {
-            return call.end().map_err(bad);
+            return call.end().map_err(bad).map(|reply| Answer { reply, began });
         }
+        received += read;
         if let Some(reply) = call.take(&buffer[..read]).map_err(bad)? {
-            return Ok(reply);
+            return Ok(Answer { reply, began });
         }
+        let left = on_course_until(received, call.length()).saturating_sub(began.elapsed()).min(LATE);
+        read = tokio::time::timeout(left, open.read(&mut buffer)).await.map_err(|_| late())??;
     }
 }
