--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -65,6 +65,7 @@
 struct Manner {
     silent: AtomicBool,
     refusing: AtomicBool,
+    accepted: AtomicU64,
     held: AtomicU64,
     asked: AtomicU64,
     served: AtomicU64,
@@ -101,6 +102,7 @@
                     },
                     _ = ends.changed() => return,
                 };
+                of.accepted.fetch_add(1, Relaxed);
                 let (of, mut ends) = (of.clone(), is_gone.clone());
                 tokio::spawn(async move {
                     let _ = stream.set_nodelay(true);
@@ -143,6 +145,11 @@
         let _ = self.gone.send(true);
     }
 
+    /// Connections made to it, of any kind.
+    pub fn connections(&self) -> u64 {
+        self.manner.accepted.load(Relaxed)
+    }
+
     /// Connections that it holds.
     pub fn held(&self) -> u64 {
         self.manner.held.load(Relaxed)
--- a/src/broker/moves.rs
+++ b/src/broker/moves.rs
@@ -18,8 +18,13 @@
             Phase::Draining => DRAIN_MS,
             Phase::Gone => GONE_MS,
         };
-        let spread = Spread::new(now, now + within);
-        self.timers.set(now + STEP_MS, Due::Drain(member, spread));
+        // Nothing new comes to it, except what is on its way: where there is nothing now there is nobody to move later. A roll-out
+        // of thousands of members sets no timer for each.
+        let there = |t: &Transaction| t.member == Some(member) && t.stage != Stage::Held;
+        if self.transactions.values().any(there) {
+            let spread = Spread::new(now, now + within);
+            self.timers.set(now + STEP_MS, Due::Drain(member, spread));
+        }
     }
 
     /// Moves a client: its connection, or what has been negotiated of it, ends in good order.
