--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -19,6 +19,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Real processes: as many as the seed draws, or the fewest where no seeds are named.
+const FEWEST: usize = 10;
+const MOST: usize = 40;
 /// Members that drain, go and come back; all other listed hosts are found at as many members more, and stay.
 const FAULTY: usize = 8;
 /// Connections that stood before, and are kept, at each place.
@@ -31,6 +34,15 @@
 struct Draw(u64);
 
 impl Draw {
+    /// Seeds beside one another draw nothing alike.
+    fn new(seed: u64) -> Draw {
+        let mut draw = Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (seed >> 7));
+        for _ in 0..8 {
+            draw.below(2);
+        }
+        draw
+    }
+
     fn below(&mut self, most: usize) -> usize {
         self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         ((self.0 >> 33) as usize) % most
@@ -38,7 +50,7 @@
 }
 
 fn range() -> std::ops::Range<u64> {
-    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..3".into());
+    let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "4..6".into());
     let (from, until) = text.split_once("..").expect("SOAK_SEEDS is FROM..UNTIL");
     from.parse().unwrap()..until.parse().unwrap()
 }
@@ -55,9 +67,10 @@
 
 impl Size {
     fn of(seed: u64) -> Size {
-        let mut draw = Draw(seed * 7 + 3);
+        let mut draw = Draw::new(seed * 2);
+        let drawn = FEWEST + draw.below(MOST - FEWEST + 1);
         Size {
-            processes: 10 + if std::env::var_os("SOAK_SEEDS").is_some() { draw.below(31) } else { 0 },
+            processes: if std::env::var_os("SOAK_SEEDS").is_some() { drawn } else { FEWEST },
             hosts: [FAULTY, 3_200, 800][(seed % 3) as usize],
             crowd: draw.below(3) == 0,
             half_known: draw.below(2) == 0,
@@ -98,7 +111,7 @@
             })
             .collect();
         let mut soak = Soak {
-            draw: Draw(seed * 2 + 1),
+            draw: Draw::new(seed * 2 + 1),
             proxy: Proxy::start(discovery.address()),
             discovery,
             members,
