--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -222,8 +222,16 @@
 /// Pieces in which a slow answer is written.
 const PIECES: usize = 40;
 
-/// What discovery holds, with the version in which each entry changed last.
-type Entries = Arc<Mutex<BTreeMap<String, (u64, Listed)>>>;
+/// What discovery holds.
+#[derive(Default)]
+struct Held {
+    /// The members, with the version in which each changed last.
+    list: BTreeMap<String, (u64, Listed)>,
+    /// The last whole list that was written, and its version: with thousands of members it is long in the making.
+    whole: Option<(u64, Arc<str>)>,
+}
+
+type Entries = Arc<Mutex<Held>>;
 
 /// Discovery: the whole list, and a watch on it, over HTTP/1.1.
 pub struct Discovery {
@@ -278,11 +286,11 @@
     /// Puts many members on the list, or changes them, in one version.
     pub fn set_all(&self, members: &[(String, Listed)]) {
         let seq = *self.seq.borrow() + 1;
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut held = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         for (name, listed) in members {
-            list.insert(name.clone(), (seq, listed.clone()));
+            held.list.insert(name.clone(), (seq, listed.clone()));
         }
-        drop(list);
+        drop(held);
         self.seq.send_replace(seq);
     }
 }
@@ -324,7 +332,7 @@
             tokio::time::sleep(now().begins_after).await;
         }
         let from = since.filter(|since| now().changes && *since > 1);
-        let body = body(seq, news, from, &list.lock().unwrap_or_else(PoisonError::into_inner)).to_string();
+        let body = list.lock().unwrap_or_else(PoisonError::into_inner).body(seq, news, from);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         written.fetch_add(answer.len() as u64, Relaxed);
         let over = if news { now().over } else { Duration::ZERO };
@@ -349,6 +357,20 @@
     Ok(())
 }
 
+impl Held {
+    fn body(&mut self, seq: u64, news: bool, from: Option<u64>) -> Arc<str> {
+        if !news || from.is_some() {
+            return body(seq, news, from, &self.list).to_string().into();
+        }
+        if let Some((_, whole)) = self.whole.as_ref().filter(|(at, _)| *at == seq) {
+            return whole.clone();
+        }
+        let whole: Arc<str> = body(seq, news, from, &self.list).to_string().into();
+        self.whole = Some((seq, whole.clone()));
+        whole
+    }
+}
+
 /// The whole list, or what has changed after the version `from`; nobody where there are no news.
 fn body(seq: u64, news: bool, from: Option<u64>, list: &BTreeMap<String, (u64, Listed)>) -> Value {
     let host = |(name, (_, listed)): (&String, &(u64, Listed))| {
--- a/src/broker/probing.rs
+++ b/src/broker/probing.rs
@@ -14,7 +14,8 @@
 const LOOK_ROUND_MS: Millis = 10_000.0;
 /// How often members that hold connections are asked how long a message takes there.
 const MEASURE_MS: Millis = 1_000.0;
-/// Members asked in one round, at most, of either kind: twice those that a small site has, so that there all are asked.
+/// Members asked in one round, at most: twice those that a small site has, so that there all are asked. It is the eighth of the
+/// descriptors that probes may hold in the smallest process.
 const ROUND_MOST: usize = 32;
 /// A look at a member costs it about what setting up a connection costs: one for so many connections that are this node's part.
 const CONNECTIONS_A_LOOK: f64 = 8.0;
@@ -49,13 +50,14 @@
         self.nodes = nodes as usize;
     }
 
-    /// The members that are asked in this round, of these that hold connections and of all that are listed. Those that leave no
-    /// room for all are the same from round to round, so that probes find their connections still open.
+    /// The members that are asked in this round: those that hold connections, and of all that are listed as many as there is room
+    /// left for. Where not all can be asked they are the same from round to round, so that probes find their connections still open.
     fn round(&self, now: Millis, holding: &BTreeSet<BackendId>, pool: &Pool) -> BTreeSet<BackendId> {
         let serving = |id: &BackendId| pool.serving(*id);
         let mut asked = self.first(holding.iter().copied().filter(serving), ROUND_MOST);
         if now < self.looks_round_until && self.nodes <= pool.members().count() {
-            asked.extend(self.first(pool.members().map(|(id, _)| id).filter(serving), self.sample));
+            let sample = self.sample.min(ROUND_MOST - asked.len());
+            asked.extend(self.first(pool.members().map(|(id, _)| id).filter(serving), sample));
         }
         asked
     }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -17,11 +17,11 @@
 /// has it, whether it arrived or not: a watch that has gone silent is given up, and the next call answered, within that.
 const WAIT_MS: u64 = 2_000;
 const FIRST_WAIT_MS: u64 = 1;
-/// An answer that is this late will not come; nor will the rest of one that stands still for so long.
+/// An answer that is this late will not come.
 const LATE: Duration = Duration::from_millis(1_000);
-/// While an answer comes on it is read on, however long the list: one begun anew would take as long. After the first of these it
-/// has to be on course: one that tells its length to be whole within the second, one that doesn't to bring so many bytes a second, as
-/// it may never end.
+/// While an answer comes on it is read on, however long the list: one begun anew would take as long. It may stand still for the
+/// first of these, as a discovery with many callers writes to all of them; after that time it has to be on course: one that tells its
+/// length to be whole within the second, one that doesn't to bring so many bytes a second, as it may never end.
 const READ_GRACE: Duration = LATE_IN_LINE;
 const READ_WITHIN: Duration = Duration::from_secs(20);
 const BYTES_A_SECOND: f64 = 16_384.0;
@@ -179,7 +179,7 @@
 /// Sends a call and reads its answer, whose first byte has to come within `first`.
 async fn call(stream: &mut Option<TcpStream>, request: String, first: Duration) -> io::Result<Answer> {
     let Some(open) = stream else { return Err(io::ErrorKind::NotConnected.into()) };
-    let late = || io::Error::new(io::ErrorKind::TimedOut, "no answer");
+    let late = |what| io::Error::new(io::ErrorKind::TimedOut, what);
     let bad = |error| io::Error::new(io::ErrorKind::InvalidData, error);
     let mut call = Call::default();
     let mut buffer = vec![0u8; 16 * 1024];
@@ -187,7 +187,7 @@
         open.write_all(request.as_bytes()).await?;
         open.read(&mut buffer).await
     };
-    let mut read = tokio::time::timeout(first, asked).await.map_err(|_| late())??;
+    let mut read = tokio::time::timeout(first, asked).await.map_err(|_| late("no answer"))??;
     let began = tokio::time::Instant::now();
     let mut received = 0;
     loop {
@@ -198,7 +198,9 @@
         if let Some(reply) = call.take(&buffer[..read]).map_err(bad)? {
             return Ok(Answer { reply, began });
         }
-        let left = on_course_until(received, call.length()).saturating_sub(began.elapsed()).min(LATE);
-        read = tokio::time::timeout(left, open.read(&mut buffer)).await.map_err(|_| late())??;
+        let left = on_course_until(received, call.length()).saturating_sub(began.elapsed());
+        let why = if left < READ_GRACE { "answer takes too long" } else { "answer stands still" };
+        let left = left.min(READ_GRACE);
+        read = tokio::time::timeout(left, open.read(&mut buffer)).await.map_err(|_| late(why))??;
     }
 }
