Read a client's first line in a module of its own, with typed refusals

Change: src/platform/first_line.rs takes and reads the line and says what is asked or why it is refused; no change of behaviour.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's front: lines of text, one `OPEN` a connection.
 
+mod first_line;
 mod parse;
 mod probe;
 mod relay;
@@ -8,10 +9,10 @@
 pub use probe::Probe;
 
 use crate::api::*;
-use crate::broker::{Ask, Bad, Coming, Command, Said};
+use crate::broker::{Bad, Command, Said};
 use crate::config::Site;
 use crate::front::{BUFFER, FIRST_MS, Front, Input, Step};
-use crate::pool::name_hash;
+use first_line::{FirstLine, Refused};
 use parse::{Answer, First};
 use relay::Relay;
 use std::collections::VecDeque;
@@ -19,9 +20,6 @@
 
 /// The longest line.
 pub const LINE: usize = 4 * 1024;
-/// `d` runs from when the client sent its line: kept back for the way here and for that of the answer. Guards
-/// against a process that is not run for a moment: with 15 ms one answer in a day came too late.
-const MARGIN_MS: Millis = 100.0;
 /// A line that is half relayed may delay `MOVE` by this, and a side that has ended the other by the next.
 const MOVE_WAIT_MS: Millis = 300.0;
 const END_WAIT_MS: Millis = 800.0;
@@ -117,80 +115,31 @@
         self.steps.push_back(step);
     }
 
-    fn bad(&mut self, bad: Bad, what: &'static str, detail: String) {
+    fn bad(&mut self, refused: Refused) {
+        let Refused { bad, what, detail } = refused;
         self.steps.push_back(Step::Log { what, detail });
         self.say(Said::Bad(bad));
         self.finish(&format!("ERR {what}"));
     }
 
     fn first_line(&mut self) {
-        let Some(end) = self.from_client.iter().position(|b| *b == b'\n') else {
-            if self.from_client.len() > LINE {
-                self.bad(Bad::TooLong, "first line too long", format!("{} bytes", self.from_client.len()));
-            }
-            return;
-        };
-        let mut line: Vec<u8> = self.from_client.drain(..=end).collect();
-        line.pop();
-        if line.last() == Some(&b'\r') {
-            line.pop();
-        }
-        if line.len() + 2 > LINE {
-            return self.bad(Bad::TooLong, "first line too long", format!("{} bytes", line.len()));
-        }
-        // Escaped: what is shown must not break the log's own lines.
-        let shown = || line.escape_ascii().to_string().chars().take(120).collect::<String>();
-        let Ok(text) = std::str::from_utf8(&line) else {
-            return self.bad(Bad::Malformed, "malformed first line", shown());
+        let line = match first_line::take(&mut self.from_client) {
+            Ok(None) => return,
+            Ok(Some(line)) => line,
+            Err(refused) => return self.bad(refused),
         };
-        match parse::first(text) {
-            None => self.bad(Bad::Malformed, "malformed first line", shown()),
-            Some(First::Ping) => {
+        match first_line::read(&line, &self.names) {
+            Err(refused) => self.bad(refused),
+            Ok(FirstLine::Ping) => {
                 self.state = State::Ping;
                 self.due = None;
                 self.say(Said::Ping);
             }
-            Some(First::Open(open)) => {
-                let place = |names: &[String], name: Option<&str>| {
-                    name.and_then(|name| names.iter().position(|known| known == name))
-                };
-                let Some(class) = place(&self.names.classes, open.field("c")) else {
-                    return self.bad(Bad::Unknown, "unknown class", shown());
-                };
-                let tenant = match open.field("t") {
-                    None if self.names.tenants.is_empty() => 0,
-                    name => match place(&self.names.tenants, name) {
-                        Some(tenant) => tenant,
-                        None => return self.bad(Bad::Unknown, "unknown tenant", shown()),
-                    },
-                };
-                let Some(wait) = open.field("d").and_then(parse::millis) else {
-                    return self.bad(Bad::Malformed, "malformed first line", shown());
-                };
-                if !open.figures_hold() {
-                    return self.bad(Bad::Malformed, "malformed first line", shown());
-                }
-                let coming = match (open.field("again"), open.field("r")) {
-                    (Some("1"), _) => Coming::Return,
-                    (_, Some("1")) => Coming::Retry,
-                    _ => Coming::First,
-                };
-                let ask = Ask {
-                    name: Some(open.id.into()),
-                    class: ClassId(class as u32),
-                    tenant: TenantId(tenant as u32),
-                    group: open.field("g").map(|name| AffinityKey(name_hash(name))),
-                    key: Some(AffinityKey(name_hash(open.key))),
-                    grace_ms: wait - MARGIN_MS,
-                    load_hint: open.field("h").and_then(|hint| hint.parse().ok()),
-                    adopted: open.field("at").map(str::to_owned),
-                    coming,
-                    negotiates: false,
-                };
-                self.line = text.to_owned();
+            Ok(FirstLine::Open { line, ask }) => {
+                self.line = line;
                 self.state = State::Held;
                 self.due = None;
-                self.say(Said::Ask(ask));
+                self.say(Said::Ask(*ask));
             }
         }
     }
@@ -377,7 +326,8 @@
         match &self.state {
             State::First if self.from_client.is_empty() => self.over(Step::Finish),
             State::First => {
-                self.bad(Bad::HalfClosed, "early close", format!("{} bytes", self.from_client.len()))
+                let detail = format!("{} bytes", self.from_client.len());
+                self.bad(Refused { bad: Bad::HalfClosed, what: "early close", detail })
             }
             State::Ping | State::Held | State::Opening { .. } => self.left("ERR early close"),
             State::Up(_) => {
@@ -467,7 +417,8 @@
                 match &self.state {
                     State::First if self.checked && self.from_client.is_empty() => self.over(Step::Finish),
                     State::First => {
-                        self.bad(Bad::Silent, "silent client", format!("{} bytes", self.from_client.len()))
+                        let detail = format!("{} bytes", self.from_client.len());
+                        self.bad(Refused { bad: Bad::Silent, what: "silent client", detail })
                     }
                     State::Moving(_) => self.try_move(true),
                     State::Ending => self.over(Step::Finish),
