Settle a process's part of the capacity by discovery's first list, not by the known one

Cause: per_weight was set once, by the list that the process was started with (Balancer::listed); where that names one of a hundred backends, the budget was a hundred times the node's part once the others came. Change: the first list that discovery gives scales it.

--- a/src/logic/discovery.rs
+++ b/src/logic/discovery.rs
@@ -13,7 +13,11 @@
         if scope != ListScope::Stale {
             (self.subscribed, self.ask_backoff) = (true, ASK_BACKOFF_MS);
         }
+        let known = self.listed_weight;
         self.merge(now, scope, entries);
+        if scope != ListScope::Stale && !std::mem::replace(&mut self.heard_discovery, true) {
+            self.capacity_by_known_list(known);
+        }
         self.weigh(now);
         let weight = self.usable_weight(now);
         if self.per_weight == 0.0 && weight > 0.0 {
@@ -24,6 +28,14 @@
         self.release_all(now, out);
     }
 
+    /// The list that a process is started with may name few of those that are there. What was made of it is this gateway's part of
+    /// the whole, and stays that when the whole list has come: it is no growth.
+    fn capacity_by_known_list(&mut self, known_weight: f64) {
+        if known_weight > 0.0 && self.listed_weight > 0.0 {
+            self.per_weight *= known_weight / self.listed_weight;
+        }
+    }
+
     pub(super) fn discovery_failed(&mut self, now: Millis, out: &mut Out) {
         let (drawn, broke) = (draw(&mut self.rng), std::mem::take(&mut self.subscribed));
         let spread = self.settings.first_ask_ms().min(ASK_MOST_MS);
--- a/src/state.rs
+++ b/src/state.rs
@@ -182,6 +182,8 @@
     pub(crate) list_clock: ListClock,
     pub(crate) next_probe: BackendId,
     pub(crate) subscribed: bool,
+    /// Discovery has given a list, or said that the known one holds.
+    pub(crate) heard_discovery: bool,
     pub(crate) ask_backoff: Millis,
     pub(crate) next_ask: Millis,
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -237,3 +237,16 @@
         assert!(sent(false, load, 20_000.0) <= 3, "{load}");
     }
 }
+
+/// Guards against capacity settled by a list that was not whole: a process that knew one backend of a hundred let in a hundred
+/// times its part once the others were listed.
+#[test]
+fn the_first_list_of_discovery_settles_capacity_whatever_was_known() {
+    let mut relay = Relay::new(quota(&[5.0]), 1);
+    relay.give(Event::Backends { scope: ListScope::Stale, entries: vec![backend(1)] });
+    relay.run(600.0);
+    let entries = (1..=100).map(backend).collect();
+    relay.give(Event::Backends { scope: ListScope::Whole, entries });
+    let sent = (0..200).filter(|id| sent_to(&relay.ask(request(*id))).is_some()).count();
+    assert!((8..=14).contains(&sent), "{sent} let in at once, 10 are twice its part");
+}
