Count as told what a spoilt answer of discovery had to tell, and call again at once

Cause: an answer that was cut, stood still or could not be read left the lease as it was, and one cut at the start of a watch even renewed it as an outage (src/net/watch.rs); the call after it waited for the module's pause, up to 2 s. A first call was given up after 2.6 s, though one deployment's discovery keeps it in line for 3 s. Change: such an answer ends the lease after the grace from its first byte; where a watch stood it is opened anew at once, once. One that still comes, but too slowly, is not written yet and changes nothing (tests/crossings.rs asks for that). First calls have 3.6 s.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -150,6 +150,8 @@
     probes_gave_way,
     /// Lists and changes that discovery gave.
     lists,
+    /// Answers of discovery that could not be read, or stood still.
+    answers_spoilt,
     /// Calls to discovery that failed.
     discovery_failures,
     /// Configurations or inventories that were read anew and taken.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -190,6 +190,17 @@
         self.seek_awaited(now);
     }
 
+    /// An answer of discovery that began at this time can't be read, or stands still.
+    pub fn answer_spoilt(&mut self, began: Millis) {
+        self.counters.answers_spoilt += 1;
+        self.lease.spoilt(began);
+    }
+
+    /// A call failed and is made again at once.
+    pub fn discovery_called_again(&mut self) {
+        self.counters.discovery_failures += 1;
+    }
+
     /// A call to discovery has failed.
     pub fn call_failed(&mut self, now: Millis, failure: CallFailure) {
         self.lease.call_failed(now, failure);
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -23,6 +23,8 @@
 pub struct Lease {
     until: Millis,
     length: Millis,
+    /// For how long something new may be sent after a change was told, as far as this process can be sure of its clock.
+    grace: Millis,
 }
 
 /// How a call to discovery failed.
@@ -37,12 +39,13 @@
 impl Lease {
     /// A lease that never runs out: the list does not come from discovery.
     pub fn unlimited() -> Self {
-        Lease { until: Millis::INFINITY, length: Millis::INFINITY }
+        Lease { until: Millis::INFINITY, length: Millis::INFINITY, grace: Millis::INFINITY }
     }
 
     /// None yet, where nothing new may go to a member for longer than `grace_ms` after a change counts as told.
     pub fn none(grace_ms: Millis) -> Self {
-        Lease { until: Millis::NEG_INFINITY, length: TOLD_MS + (grace_ms - HELD_UP_MS).max(0.0) }
+        let grace = (grace_ms - HELD_UP_MS).max(0.0);
+        Lease { until: Millis::NEG_INFINITY, length: TOLD_MS + grace, grace }
     }
 
     /// Discovery has answered: the list is as good as new.
@@ -50,6 +53,12 @@
         self.until = self.until.max(now + self.length);
     }
 
+    /// An answer that began at this time can't be read, or has stood still since: what it has to tell counts as told as it was written,
+    /// whether or not it arrived.
+    pub fn spoilt(&mut self, began: Millis) {
+        self.until = self.until.min(began + self.grace);
+    }
+
     /// A call has failed. While discovery is down nothing counts as told.
     pub fn call_failed(&mut self, now: Millis, failure: CallFailure) {
         if failure == CallFailure::Down {
--- a/src/freshness/tests.rs
+++ b/src/freshness/tests.rs
@@ -19,6 +19,17 @@
     assert!(lease.holds(8_000.0) && !lease.holds(8_500.0));
 }
 
+/// Guards against sends by a list that an answer has overtaken which came cut: what it told counts as told as it was written.
+#[test]
+fn a_list_holds_only_for_the_grace_once_an_answer_came_spoilt() {
+    let mut lease = Lease::none(750.0);
+    lease.answered(1_000.0);
+    lease.spoilt(2_000.0);
+    assert!(lease.holds(2_450.0) && !lease.holds(2_500.0));
+    lease.answered(2_600.0);
+    assert!(lease.holds(9_000.0));
+}
+
 #[test]
 fn a_list_that_does_not_come_from_discovery_always_holds() {
     assert!(Lease::unlimited().holds(1e15));
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -1,6 +1,7 @@
 //! Watches discovery: one call after the other while the broker wants to be told.
 
 use super::Node;
+use crate::api::Millis;
 use crate::broker::Unfit;
 use crate::discovery::{Call, Reply, since, whole};
 use crate::freshness::{CallFailure, PROMPT_MS};
@@ -12,6 +13,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
 
 /// Discovery may keep a call this long; the first of a watch is answered at once. What it has to tell counts as told 6 s after it
 /// has it, whether it arrived or not: a watch that has gone silent is given up, and the next call answered, within that.
@@ -22,16 +24,18 @@
 /// While an answer comes on it is read on, however long the list: one begun anew would take as long. It may stand still for the
 /// first of these, as a discovery with many callers writes to all of them; after that time it has to be on course: one that tells its
 /// length to be whole within the second, one that doesn't to bring so many bytes a second, as it may never end.
-const READ_GRACE: Duration = LATE_IN_LINE;
+const READ_GRACE: Duration = Duration::from_millis(2_600);
+/// One that stands still for so long may have been written whole, and what it tells then counts as told.
+const STILL: Duration = Duration::from_millis(250);
 const READ_WITHIN: Duration = Duration::from_secs(20);
 const BYTES_A_SECOND: f64 = 16_384.0;
 /// After an answer that took longer than this to read the next call is answered at once: what was read may be overtaken.
 const SLOW: Duration = Duration::from_millis(500);
 /// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
 /// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
-/// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
-/// address, where all nodes call at once as well.
-const LATE_IN_LINE: Duration = Duration::from_millis(2_600);
+/// waited for until discovery itself gives it up: in turn for 2 or 3 s, by deployment (`timeout_ms` of its site file; the settings don't
+/// tell), and some time to answer. So is the first at a new address, where all nodes call at once as well.
+const LATE_IN_LINE: Duration = Duration::from_millis(3_600);
 /// Discovery says so when it is down, and when a call has waited for too long: both after some 2 s, so that they can't be told apart.
 /// A node that took the first for the second would send nothing for the whole of an outage.
 const UNAVAILABLE: u16 = 503;
@@ -50,13 +54,19 @@
             biased;
             // Another address: the call under way ends with its connection, and the new one is asked at once.
             () = node.redirected.notified() => {
-                fresh = Some(tokio::time::Instant::now());
+                fresh = Some(Instant::now());
                 continue;
             }
             error = calls(&node, address, &zones, &mut fresh, &mut anew) => error,
         };
-        let FailedCall { failure, error } = error;
+        let FailedCall { failure, error, again } = error;
         node.with(|broker, now| broker.call_failed(now, failure));
+        if again {
+            // What it had to tell counts as told: there is no time to lose.
+            warn!(node.log, "discovery failed"; "error" => error, "again" => "at once");
+            node.with(|broker, _| broker.discovery_called_again());
+            continue;
+        }
         if fresh.is_some_and(|named| named.elapsed() < NAMED) && node.watching.get() {
             tokio::time::sleep(AGAIN).await;
             continue;
@@ -75,7 +85,7 @@
     node: &Rc<Node>,
     address: SocketAddr,
     zones: &[String],
-    fresh: &mut Option<tokio::time::Instant>,
+    fresh: &mut Option<Instant>,
     anew: &mut bool,
 ) -> FailedCall {
     let authority = address.to_string();
@@ -90,31 +100,36 @@
         };
         let late = if first { LATE_IN_LINE } else { LATE };
         let limit = Duration::from_millis(wait) + late;
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
         if stream.is_none() {
             match connect(address).await {
                 Ok(connected) => stream = Some(connected),
-                Err(error) => return FailedCall { failure: CallFailure::Down, error: error.to_string() },
+                Err(error) => {
+                    return FailedCall { failure: CallFailure::Down, error: error.to_string(), again: false };
+                }
             }
         }
         // Discovery that is down refuses at once; a call that has waited was in line, or its watch broke.
         let prompt = || first && began.elapsed().as_secs_f64() * 1_000.0 < PROMPT_MS;
         let failed = |error| {
             let failure = if prompt() { CallFailure::Down } else { CallFailure::Unanswered };
-            FailedCall { failure, error }
+            FailedCall { failure, error, again: false }
         };
-        let Answer { reply, began: answered } = match call(&mut stream, request, limit).await {
+        let Answer { reply, began: answered } = match call(node, &mut stream, request, limit).await {
             Ok(answer) => answer,
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => {
-                return FailedCall::unanswered(&error.to_string());
-            }
-            Err(error) => return failed(error.to_string()),
+            Err(NoAnswer::Late) => return FailedCall::unanswered("no answer"),
+            Err(NoAnswer::Slow) => return FailedCall::unanswered("answer takes too long"),
+            Err(NoAnswer::Broke(error)) => return failed(error.to_string()),
+            Err(NoAnswer::Spoilt { began, error }) => return spoilt(node, began, &error, !first),
         };
         slow = answered.elapsed() > SLOW;
         // What it says is as old as its first byte.
-        let since_answered = || answered.elapsed().as_secs_f64() * 1_000.0;
         if reply.status == UNAVAILABLE {
-            return FailedCall { failure: CallFailure::Down, error: format!("status {}", reply.status) };
+            return FailedCall {
+                failure: CallFailure::Down,
+                error: format!("status {}", reply.status),
+                again: false,
+            };
         }
         if reply.status != 200 {
             return failed(format!("status {}", reply.status));
@@ -125,17 +140,18 @@
         match decode(&reply.body, zones) {
             // An answer without news says nothing to the module, except that the watch has begun.
             Ok(list) if !first && list.says_nothing(node.broker.borrow().pool_seq()) => {
-                node.with(|broker, now| broker.list_confirmed(now, now - since_answered()));
+                node.with(|broker, now| broker.list_confirmed(now, now - milliseconds(answered.elapsed())));
             }
             // The last pool is kept where it is not taken.
             Ok(list) => {
-                let taken = node.with(|broker, now| broker.listed(now, list, now - since_answered()));
+                let taken =
+                    node.with(|broker, now| broker.listed(now, list, now - milliseconds(answered.elapsed())));
                 if let Err(unfit) = taken {
                     *anew = matches!(unfit, Unfit::Older { .. });
                     return FailedCall::unanswered(&format!("bad answer: {unfit}"));
                 }
             }
-            Err(error) => return FailedCall::unanswered(&format!("bad answer: {error}")),
+            Err(error) => return spoilt(node, answered, &format!("bad answer: {error}"), !first),
         }
         first = fresh.take().is_some();
     }
@@ -146,16 +162,18 @@
 struct FailedCall {
     failure: CallFailure,
     error: String,
+    /// Discovery is called again at once, and not when the module says.
+    again: bool,
 }
 
 impl FailedCall {
     fn unanswered(error: &str) -> Self {
-        FailedCall { failure: CallFailure::Unanswered, error: error.to_owned() }
+        FailedCall { failure: CallFailure::Unanswered, error: error.to_owned(), again: false }
     }
 }
 
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let connected = tokio::time::timeout(LATE, TcpStream::connect(address)).await??;
+    let connected = timeout(LATE, TcpStream::connect(address)).await??;
     let _ = connected.set_nodelay(true);
     Ok(connected)
 }
@@ -173,34 +191,87 @@
 /// A whole answer, and when its first byte came.
 struct Answer {
     reply: Reply,
-    began: tokio::time::Instant,
+    began: Instant,
+}
+
+/// Why there is none.
+enum NoAnswer {
+    /// Not one byte came in its time.
+    Late,
+    /// The connection broke before one came.
+    Broke(io::Error),
+    /// One began at this time and was cut, stood still, or is no answer.
+    Spoilt { began: Instant, error: String },
+    /// One still comes, but too slowly: it is not written yet.
+    Slow,
 }
 
 /// Sends a call and reads its answer, whose first byte has to come within `first`.
-async fn call(stream: &mut Option<TcpStream>, request: String, first: Duration) -> io::Result<Answer> {
-    let Some(open) = stream else { return Err(io::ErrorKind::NotConnected.into()) };
-    let late = |what| io::Error::new(io::ErrorKind::TimedOut, what);
-    let bad = |error| io::Error::new(io::ErrorKind::InvalidData, error);
-    let mut call = Call::default();
+async fn call(
+    node: &Rc<Node>,
+    stream: &mut Option<TcpStream>,
+    request: String,
+    first: Duration,
+) -> Result<Answer, NoAnswer> {
+    let Some(open) = stream else { return Err(NoAnswer::Broke(io::ErrorKind::NotConnected.into())) };
     let mut buffer = vec![0u8; 16 * 1024];
     let asked = async {
         open.write_all(request.as_bytes()).await?;
         open.read(&mut buffer).await
     };
-    let mut read = tokio::time::timeout(first, asked).await.map_err(|_| late("no answer"))??;
-    let began = tokio::time::Instant::now();
+    let read = timeout(first, asked).await.map_err(|_| NoAnswer::Late)?.map_err(NoAnswer::Broke)?;
+    if read == 0 {
+        return Err(NoAnswer::Broke(io::ErrorKind::UnexpectedEof.into()));
+    }
+    let began = Instant::now();
+    let reply = rest(node, open, &mut buffer, read, began).await?;
+    Ok(Answer { reply, began })
+}
+
+/// Reads an answer to its end, of which `read` bytes have come.
+async fn rest(
+    node: &Rc<Node>,
+    open: &mut TcpStream,
+    buffer: &mut [u8],
+    mut read: usize,
+    began: Instant,
+) -> Result<Reply, NoAnswer> {
+    let spoilt = |error: &dyn std::fmt::Display| NoAnswer::Spoilt { began, error: error.to_string() };
+    let mut call = Call::default();
     let mut received = 0;
     loop {
         if read == 0 {
-            return call.end().map_err(bad).map(|reply| Answer { reply, began });
+            return call.end().map_err(|error| spoilt(&error));
         }
         received += read;
-        if let Some(reply) = call.take(&buffer[..read]).map_err(bad)? {
-            return Ok(Answer { reply, began });
+        if let Some(reply) = call.take(&buffer[..read]).map_err(|error| spoilt(&error))? {
+            return Ok(reply);
         }
         let left = on_course_until(received, call.length()).saturating_sub(began.elapsed());
-        let why = if left < READ_GRACE { "answer takes too long" } else { "answer stands still" };
+        if left.is_zero() {
+            return Err(NoAnswer::Slow);
+        }
         let left = left.min(READ_GRACE);
-        read = tokio::time::timeout(left, open.read(&mut buffer)).await.map_err(|_| late(why))??;
+        let next = match timeout(left.min(STILL), open.read(buffer)).await {
+            Ok(next) => next,
+            Err(_) if left <= STILL => return Err(NoAnswer::Slow),
+            Err(_) => {
+                node.with(|broker, now| broker.answer_spoilt(now - milliseconds(began.elapsed())));
+                let next = timeout(left - STILL, open.read(buffer)).await;
+                next.map_err(|_| spoilt(&"answer stands still"))?
+            }
+        };
+        read = next.map_err(|error| spoilt(&error))?;
     }
 }
+
+/// What an answer that can't be read had to tell counts as told. Where a watch stood, it is opened anew at once: once, as the first
+/// call of a watch that is spoilt as well is the module's to repeat.
+fn spoilt(node: &Rc<Node>, began: Instant, error: &str, stood: bool) -> FailedCall {
+    node.with(|broker, now| broker.answer_spoilt(now - milliseconds(began.elapsed())));
+    FailedCall { again: stood, ..FailedCall::unanswered(error) }
+}
+
+fn milliseconds(time: Duration) -> Millis {
+    time.as_secs_f64() * 1_000.0
+}
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -45,3 +45,34 @@
     assert_eq!(gone.attempts().0, 0, "sent to one that is gone");
     assert_eq!(answer, "UP 2\r\n");
 }
+
+/// Guards against sends by a list that was overtaken by an answer which came cut: discovery wrote who has gone, and what it writes
+/// counts as told.
+#[test]
+fn nothing_is_sent_to_one_that_an_answer_cut_on_its_way_told_gone() {
+    let stage = Stage::new().unwrap();
+    let gone = Member::start(&stage, 1).unwrap();
+    let whole = list(7, "s-gone", &gone.address());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (told, is_told) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let head = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        stream.write_all((head(&whole) + &whole).as_bytes()).unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        let change = whole.replace(r#""seq":7"#, r#""seq":8"#).replace("Ready", "Gone");
+        stream.write_all((head(&change) + &change[..change.len() / 2]).as_bytes()).unwrap();
+        drop(stream);
+        told.send(std::time::Instant::now()).unwrap();
+        // Later calls are taken and not answered.
+        let _calls: Vec<_> = listener.incoming().collect();
+    });
+    let node = launch(&config(&address), |_| ());
+    let until = is_told.recv_timeout(Duration::from_secs(10)).unwrap() + Duration::from_millis(800);
+    assert!(within(2.0, || std::time::Instant::now() > until));
+    let before = gone.attempts().0;
+    let answer = talk(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=1500\r\n");
+    assert_eq!((gone.attempts().0 - before, answer.starts_with("BUSY")), (0, true), "{answer}");
+}
