Count an answer of discovery as old as its call, not as its first byte

Change: the lease counts from the call, which is older than whatever the answer says. Result: tests/restart.rs an_answer_that_was_long_on_its_way_is_as_old_as_its_call: UP by the one that had gone before, BUSY now.

--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -123,7 +123,8 @@
             Err(NoAnswer::Spoilt { began, error }) => return spoilt(node, began, &error, !first),
         };
         slow = answered.elapsed() > SLOW;
-        // What it says is as old as its first byte.
+        // What it says may be as old as the call: it may have been on its way for all the time since.
+        let as_of = |now| now - milliseconds(began.elapsed());
         if reply.status == UNAVAILABLE {
             return FailedCall {
                 failure: CallFailure::Down,
@@ -140,12 +141,11 @@
         match decode(&reply.body, zones) {
             // An answer without news says nothing to the module, except that the watch has begun.
             Ok(list) if !first && list.says_nothing(node.broker.borrow().pool_seq()) => {
-                node.with(|broker, now| broker.list_confirmed(now, now - milliseconds(answered.elapsed())));
+                node.with(|broker, now| broker.list_confirmed(now, as_of(now)));
             }
             // The last pool is kept where it is not taken.
             Ok(list) => {
-                let taken =
-                    node.with(|broker, now| broker.listed(now, list, now - milliseconds(answered.elapsed())));
+                let taken = node.with(|broker, now| broker.listed(now, list, as_of(now)));
                 if let Err(unfit) = taken {
                     *anew = matches!(unfit, Unfit::Older { .. });
                     return FailedCall::unanswered(&format!("bad answer: {unfit}"));
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -76,3 +76,34 @@
     let answer = talk(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=1500\r\n");
     assert_eq!((gone.attempts().0 - before, answer.starts_with("BUSY")), (0, true), "{answer}");
 }
+
+/// Guards against an answer that counts as new when it arrives: it was on its way while the list changed. What discovery has counts as
+/// told 6 s after, so that nothing may be sent from 6.75 s on, whatever else fails then.
+#[test]
+fn an_answer_that_was_long_on_its_way_is_as_old_as_its_call() {
+    let stage = Stage::new().unwrap();
+    let gone = Member::start(&stage, 1).unwrap();
+    let whole = list(7, "s-gone", &gone.address());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (called, is_called) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        stream.write_all(answer(&whole).as_bytes()).unwrap();
+        let _ = stream.read(&mut [0; 1024]).unwrap();
+        // The member goes right after this; the answer that says nothing of it comes as late as one may.
+        called.send(std::time::Instant::now()).unwrap();
+        thread::sleep(Duration::from_millis(2_850));
+        stream.write_all(answer(r#"{"seq":7,"whole":false,"hosts":[]}"#).as_bytes()).unwrap();
+        // Later calls are taken and not answered.
+        let _calls: Vec<_> = listener.incoming().collect();
+    });
+    let node = launch(&config(&address), |_| ());
+    let until = is_called.recv_timeout(Duration::from_secs(10)).unwrap() + Duration::from_millis(6_850);
+    assert!(within(10.0, || std::time::Instant::now() > until));
+    let before = gone.attempts().0;
+    let answer = talk(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=1500\r\n");
+    assert_eq!((gone.attempts().0 - before, answer.starts_with("BUSY")), (0, true), "{answer}");
+}
