--- a/src/logic/discovery.rs
+++ b/src/logic/discovery.rs
@@ -8,6 +8,9 @@
 pub(super) const ASK_BACKOFF_MS: Millis = 1_000.0;
 const ASK_MOST_MS: Millis = 2_000.0;
 
+/// A known list that names less than this part of those that discovery lists was not whole.
+const MOST_KNOWN: f64 = 0.5;
+
 impl Balancer {
     pub(super) fn listed(&mut self, now: Millis, scope: ListScope, entries: Vec<BackendInfo>, out: &mut Out) {
         if scope != ListScope::Stale {
@@ -29,9 +32,10 @@
     }
 
     /// The list that a process is started with may name few of those that are there. What was made of it is this gateway's part of
-    /// the whole, and stays that when the whole list has come: it is no growth.
+    /// the whole, and stays that when the whole list has come: it is no growth. Where it named most of them, the rest is a change
+    /// like any other.
     fn capacity_by_known_list(&mut self, known_weight: f64) {
-        if known_weight > 0.0 && self.listed_weight > 0.0 {
+        if known_weight > 0.0 && known_weight < self.listed_weight * MOST_KNOWN {
             self.per_weight *= known_weight / self.listed_weight;
         }
     }
--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -24,7 +24,7 @@
 /// While an answer comes on it is read on, however long the list: one begun anew would take as long. It may stand still for the
 /// first of these, as a discovery with many callers writes to all of them; after that time it has to be on course: one that tells its
 /// length to be whole within the second, one that doesn't to bring so many bytes a second, as it may never end.
-const READ_GRACE: Duration = Duration::from_millis(2_600);
+const READ_GRACE: Duration = LATE_IN_LINE;
 /// One that stands still for so long may have been written whole, and what it tells then counts as told.
 const STILL: Duration = Duration::from_millis(250);
 const READ_WITHIN: Duration = Duration::from_secs(20);
@@ -33,9 +33,9 @@
 const SLOW: Duration = Duration::from_millis(500);
 /// The call that begins a watch stands in line with those of all other nodes. One given up while it waits is served
 /// all the same, for nobody, and asked again: a hundred nodes kept a discovery busy with such calls for 13 s. So it is
-/// waited for until discovery itself gives it up: in turn for 2 or 3 s, by deployment (`timeout_ms` of its site file; the settings don't
-/// tell), and some time to answer. So is the first at a new address, where all nodes call at once as well.
-const LATE_IN_LINE: Duration = Duration::from_millis(3_600);
+/// waited for until discovery itself gives it up: in turn for 2 s, and some time to answer. So is the first at a new
+/// address, where all nodes call at once as well.
+const LATE_IN_LINE: Duration = Duration::from_millis(2_600);
 /// Discovery says so when it is down, and when a call has waited for too long: both after some 2 s, so that they can't be told apart.
 /// A node that took the first for the second would send nothing for the whole of an outage.
 const UNAVAILABLE: u16 = 503;
