Conclude nothing from the known list while discovery has never answered

Need: found on reading the change once more. Cause: an outage renews the lease, so that after 6 s of it a connection from before whose member the known list does not name was placed at another (Broker::holder), by a list that no discovery had confirmed.

--- a/src/broker/adoption.rs
+++ b/src/broker/adoption.rs
@@ -62,8 +62,10 @@
             return Holder::Gone;
         }
         let wait_ms = TOLD_MS.min((t.deadline - t.asked) * UNLISTED_PART);
-        // As long as the list may be overtaken it says nothing about who is not on it.
-        if now - t.asked < wait_ms || !self.lease.holds(now) { Holder::Awaited } else { Holder::Gone }
+        // A list says nothing about who is not on it while it may be overtaken, or where discovery has not answered since, as in an
+        // outage that renews the lease.
+        let told = self.lease.holds(now) && self.last_answer >= t.asked;
+        if told && now - t.asked >= wait_ms { Holder::Gone } else { Holder::Awaited }
     }
 
     /// Goes to the member that holds the connection, if the list at hand names it.
--- a/src/broker/adoption/tests.rs
+++ b/src/broker/adoption/tests.rs
@@ -115,3 +115,18 @@
     bench.run(500.0 + over);
     assert_eq!(bench.answers(id), 1);
 }
+
+/// A lease that an outage renews says nothing of who is not on the list that the process was started with.
+#[test]
+fn an_outage_of_discovery_decides_nothing_about_a_member_that_was_not_known() {
+    let mut bench = Bench::new(&["a"]);
+    bench.broker.lists_are_leased(750.0);
+    let id = standing(&mut bench, "z", 40_000.0);
+    for second in 1..15 {
+        bench.run(1_000.0 * f64::from(second));
+        bench.broker.call_failed(bench.now, CallFailure::Down);
+    }
+    assert_eq!(opened(&bench.commands(id)), Vec::<String>::new());
+    bench.list(list(true, vec![member("a", Phase::Serving), member("z", Phase::Serving)]));
+    assert_eq!(opened(&bench.commands(id)), ["z"]);
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -110,6 +110,8 @@
     pool: Pool,
     /// Whether the pool as it is known still holds.
     lease: Lease,
+    /// When discovery made its last answer, as far as is known; never so far if it is before all times.
+    last_answer: Millis,
     /// Attempts that wait for that.
     parked: BTreeMap<TransactionId, BackendId>,
     /// Connections from before the run whose member the list does not name yet.
@@ -150,6 +152,7 @@
             pings: Vec::new(),
             pool: Pool::default(),
             lease: Lease::unlimited(),
+            last_answer: f64::NEG_INFINITY,
             parked: BTreeMap::new(),
             awaiting: BTreeSet::new(),
             timers: Timers::default(),
@@ -186,6 +189,7 @@
     /// Discovery has answered that there is nothing new, at the time `as_of`: an answer that took long to come is older than its end.
     pub fn list_confirmed(&mut self, now: Millis, as_of: Millis) {
         self.lease.answered(as_of);
+        self.last_answer = self.last_answer.max(as_of);
         self.unpark(now);
         self.seek_awaited(now);
     }
