Show that a drained node says yes again and holds clients after SIGTERM

Cause: the schedule of a shutdown replaces that of a drain, and a node that ends answers PING with PONG. Change: case review/2.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! environment the disruption is left out.
 
 mod cut_answer;
+mod drained_end;
 mod parts;
 mod proxy;
 
@@ -36,6 +37,7 @@
     record.say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case {
         "cut-answer" => cut_answer::run(trouble, &temporary.0, &record),
+        "drained-end" => drained_end::run(trouble, &temporary.0, &record),
         _ => Ok(Verdict::NotRun(format!("no case {case}"))),
     };
     // The nodes' logs belong to the record.
