Show that a lost zone can stop all timers of a node, and order the cases by gravity

Cause: with no usable member the learned capacity becomes infinite; a list in the next 500 ms makes a tenant's excess NaN, a timer is set to NaN, and the task that fires all timers panics while the process goes on.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] || { echo "run review/build.sh first"; exit 2; }
 [ -x ../../target/release/hopmoor ] || { echo "run the build of deploy/balancer.toml first"; exit 2; }
-exec ../bin/standin drained-end .
+exec ../bin/standin cut-answer .
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,11 +3,11 @@
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. With `TROUBLE=0` in the
 //! environment the disruption is left out.
 
-mod crowded;
 mod cut_answer;
 mod drained_end;
 mod parts;
 mod proxy;
+mod stopped_timers;
 
 use parts::Record;
 use std::path::{Path, PathBuf};
@@ -37,7 +37,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let verdict = match case {
-        "crowded" => crowded::run(trouble, &temporary.0, &record),
+        "stopped-timers" => stopped_timers::run(trouble, &temporary.0, &record),
         "cut-answer" => cut_answer::run(trouble, &temporary.0, &record),
         "drained-end" => drained_end::run(trouble, &temporary.0, &record),
         _ => Ok(Verdict::NotRun(format!("no case {case}"))),
