--- a/review/standin/cut_answer.rs
+++ b/review/standin/cut_answer.rs
@@ -30,7 +30,7 @@
     let nodes: Vec<Node> = names
         .iter()
         .zip(&proxies)
-        .map(|(name, proxy)| Node::start(name, &proxy.address.to_string(), folder, record))
+        .map(|(name, proxy)| Node::start(0, 2, name, &proxy.address.to_string(), folder, record))
         .collect::<io::Result<_>>()?;
     if !nodes.iter().all(Node::wait_ready) {
         return Ok(Verdict::NotRun("a node did not become ready".into()));
--- a/review/standin/drained_end.rs
+++ b/review/standin/drained_end.rs
@@ -33,7 +33,7 @@
     let listed: Vec<(&str, &str, &'static str)> =
         members.iter().map(|member| (&*member.name, &*member.dial, "Ready")).collect();
     discovery.set(&listed);
-    let mut node = Node::start("a", &discovery.address.to_string(), folder, record)?;
+    let mut node = Node::start(0, 1, "a", &discovery.address.to_string(), folder, record)?;
     if !node.wait_ready() {
         return Ok(Verdict::NotRun("the node did not become ready".into()));
     }
--- a/review/standin/parts.rs
+++ b/review/standin/parts.rs
@@ -372,14 +372,10 @@
 }
 
 impl Node {
-    /// Starts a node in the temporary folder `folder`.
-    pub fn start(name: &str, discovery: &str, folder: &Path, record: &Record) -> io::Result<Node> {
-        Node::start_in(0, name, discovery, folder, record)
-    }
-
-    /// Starts a node in the zone with this number: 0 is east, 1 west.
-    pub fn start_in(
+    /// Starts a node in the temporary folder `folder`, in this zone (0 is east, 1 west), one of `nodes`.
+    pub fn start(
         zone: u32,
+        nodes: usize,
         name: &str,
         discovery: &str,
         folder: &Path,
@@ -388,7 +384,7 @@
         let listen = format!("127.0.0.1:{}", free_port()?);
         let admin = format!("127.0.0.1:{}", free_port()?);
         let config = folder.join(format!("{name}.json"));
-        std::fs::write(&config, node_config(zone, name, &listen, &admin, discovery))?;
+        std::fs::write(&config, node_config(zone, nodes, name, &listen, &admin, discovery))?;
         let log = File::create(folder.join(format!("{name}.log")))?;
         let tmp = folder.join(format!("{name}.tmp"));
         std::fs::create_dir_all(&tmp)?;
@@ -410,9 +406,12 @@
         Ok(Node { name: name.to_owned(), listen, admin, child })
     }
 
-    pub fn signal(&self, signal: i32) {
-        // The child is not reaped before `drop`, so that its id can't belong to another process.
-        unsafe { kill(self.child.id() as i32, signal) };
+    /// Sends a signal, unless the process has ended: its id may belong to another process then.
+    pub fn signal(&mut self, signal: i32) {
+        if !self.ended() {
+            // Not reaped yet, so the id is still the child's.
+            unsafe { kill(self.child.id() as i32, signal) };
+        }
     }
 
     /// Whether the process has ended.
@@ -439,8 +438,8 @@
     }
 }
 
-/// A configuration like that of a small deployment: two nodes, two zones, two classes.
-fn node_config(zone: u32, name: &str, listen: &str, admin: &str, discovery: &str) -> String {
+/// A configuration like that of a small deployment: two zones, two classes, one tenant.
+fn node_config(zone: u32, nodes: usize, name: &str, listen: &str, admin: &str, discovery: &str) -> String {
     let class = |name: &str, deadline: u32| {
         format!(
             r#"{{"aimMs":300.0,"deadlineMs":{deadline},"effect":"free","group":"all","importance":1.0,"lateWorth":0.0,"name":"{name}","streaming":true,"windowMs":5000.0}}"#
@@ -451,7 +450,7 @@
         r#"{{"name":"{name}","listen":"{listen}","admin":"{admin}","discovery":"{discovery}","seed":"5a17c3",
  "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
  "known":{{"seq":0,"whole":true,"hosts":[]}},
- "settings":{{"balancers":2,"callers":{{"marksRetry":true}},
+ "settings":{{"balancers":{nodes},"callers":{{"marksRetry":true}},
   "caps":{{"cancel":true,"connectTimeoutMs":250.0,"keepaliveMs":5000.0,"maxOpen":100000,"maxRetryAfterMs":1500.0,
    "mostTries":6,"multiplex":1,"parallelTries":false,"peerMessages":false,"probing":true,"retryAfter":true}},
   "discovery":"on_request",
--- a/review/standin/stopped_timers.rs
+++ b/review/standin/stopped_timers.rs
@@ -55,7 +55,7 @@
     tell(&listed(&members, "Ready"), 0);
     let mut nodes: Vec<Node> = ["a", "b", "c"]
         .iter()
-        .map(|name| Node::start_in(1, name, &discovery.address_for(name)?.to_string(), folder, record))
+        .map(|name| Node::start(1, 3, name, &discovery.address_for(name)?.to_string(), folder, record))
         .collect::<io::Result<_>>()?;
     if !nodes.iter().all(Node::wait_ready) {
         return Ok(Verdict::NotRun("a node did not become ready".into()));
@@ -118,12 +118,12 @@
     record.line("SIGTERM to the nodes");
     let crashed: Vec<String> =
         nodes.iter_mut().filter_map(|node| node.ended().then(|| node.name.clone())).collect();
-    nodes.iter().for_each(|node| node.signal(SIGTERM));
+    nodes.iter_mut().for_each(|node| node.signal(SIGTERM));
     let terminated_at = record.now();
     while record.now() < terminated_at + KILL_AFTER_MS && !nodes.iter_mut().all(Node::ended) {
         thread::sleep(ms(20));
     }
-    nodes.iter().for_each(|node| node.signal(SIGKILL));
+    nodes.iter_mut().for_each(|node| node.signal(SIGKILL));
     standing.into_iter().for_each(|client| drop(client.join()));
 
     let lost = lock(&answers.lost).clone();
