--- a/review/standin/cut_answer.rs
+++ b/review/standin/cut_answer.rs
@@ -105,7 +105,7 @@
                 let (id, address, record) = (format!("{name}{number}"), address.clone(), record.clone());
                 thread::spawn(move || {
                     let answer = connect(&address).and_then(|mut stream| {
-                        let answer = ask(&mut stream, &open_line(&id, "view", 1_800))?;
+                        let answer = open(&mut stream, &open_line(&id, "view", 1_800), &address, &record)?;
                         if answer.starts_with("UP ") {
                             thread::sleep(ms(400));
                         }
--- a/review/standin/drained_end.rs
+++ b/review/standin/drained_end.rs
@@ -119,7 +119,7 @@
 /// A client that sends a line every 2 s until its connection is moved or ends.
 fn client(number: usize, address: &str, record: &Record, fates: &Mutex<Vec<Fate>>) -> io::Result<()> {
     let mut stream = connect(address)?;
-    let answer = ask(&mut stream, &open_line(&format!("c{number}"), "status", 3_000))?;
+    let answer = open(&mut stream, &open_line(&format!("c{number}"), "status", 3_000), address, record)?;
     record.line(&format!("client c{number} gets {answer}"));
     if !answer.starts_with("UP ") {
         return Ok(());
--- a/review/standin/parts.rs
+++ b/review/standin/parts.rs
@@ -144,10 +144,12 @@
         if let (false, Some(rest)) = (up, line.strip_prefix("OPEN ")) {
             let id = rest.split(' ').next().unwrap_or("").to_owned();
             lock(arrivals).push(Arrival { member: own.to_owned(), id: id.clone(), at: record.now() });
-            record.line(&format!(
-                "member {own} gets OPEN {id}{}",
-                if now.draining { " (it drains)" } else { "" }
-            ));
+            let answer = match (now.silent, now.draining) {
+                (true, _) => "nothing, it hangs".to_owned(),
+                (false, true) => "BUSY, it drains".to_owned(),
+                (false, false) => format!("UP {own}-{id}"),
+            };
+            record.line(&format!("member {own} gets {} and answers {answer}", line.trim_end()));
             if now.silent {
                 continue;
             }
@@ -480,6 +482,17 @@
     Ok(BufReader::new(stream))
 }
 
+/// Sends a client's first line, as recorded, and returns the line that comes back.
+pub fn open(
+    stream: &mut BufReader<TcpStream>,
+    line: &str,
+    node: &str,
+    record: &Record,
+) -> io::Result<String> {
+    record.line(&format!("client sends {line} to the node at {node}"));
+    ask(stream, line)
+}
+
 /// Sends a line and returns the line that comes back, empty if the connection ends.
 pub fn ask(stream: &mut BufReader<TcpStream>, line: &str) -> io::Result<String> {
     stream.get_mut().write_all(format!("{line}\r\n").as_bytes())?;
--- a/review/standin/stopped_timers.rs
+++ b/review/standin/stopped_timers.rs
@@ -180,7 +180,7 @@
     let Ok(mut stream) = connect(address) else { return record.line(&format!("client {id} can't connect")) };
     let _ = stream.get_ref().set_read_timeout(Some(ms(u64::from(deadline) + LATE_MS)));
     let sent = record.now();
-    let answer = ask(&mut stream, &line).unwrap_or_default();
+    let answer = open(&mut stream, &line, address, record).unwrap_or_default();
     record.line(&format!("client {id} of {sent} ms gets {answer:?}"));
     match answer.split(' ').next() {
         Some("UP") => answers.up.fetch_add(1, Relaxed),
@@ -206,7 +206,8 @@
     let Ok(mut stream) = connect(address) else { return record.line(&format!("client {id} can't connect")) };
     let _ = stream.get_ref().set_read_timeout(Some(ms(3_000 + LATE_MS)));
     let sent = record.now();
-    let answer = ask(&mut stream, &format!("{},h=5", open_line(id, "status", 3_000))).unwrap_or_default();
+    let answer = open(&mut stream, &format!("{},h=5", open_line(id, "status", 3_000)), address, record)
+        .unwrap_or_default();
     record.line(&format!("client {id} of {sent} ms gets {answer:?}"));
     if answer.is_empty() {
         lock(&answers.lost).push((id.to_owned(), sent));
