Learn no capacity while no backend is usable, so that no number becomes infinite

Cause: learn_capacity divided by f64::MIN_POSITIVE when every backend was paused, so capacity_per_weight (and, with connections just placed, intake_per_weight) became infinite. The next list made budgets infinite and a tenant's excess -inf/inf, which clamp keeps; one interval later a queued request's pacing delay, and with it its timer, was NaN. Change: usable_weight is an Option, so that there is no weight to divide by while none is usable; the capacity and the intake then stay as they are. learn_capacity is split by concern. Each interval checks all numbers of the state: one that is not finite is a Fault, and what was learned is reset, so that it does not last.

--- a/src/logic/budget.rs
+++ b/src/logic/budget.rs
@@ -39,6 +39,8 @@
 const NEWCOMER_QUOTA_MS: Millis = 10_000.0;
 /// Below this mean reported load there is spare capacity: trouble is no shortage and lowers no capacity.
 pub(super) const SPARE_CAPACITY_LOAD: f64 = 0.65;
+/// Upper bound of the learned capacity of all usable backends together, in usual connections.
+const MAX_CAPACITY: f64 = 1e9;
 /// Decay per interval of the load remembered from a backend's last trouble, as trouble is often transient.
 const PEAK_LOAD_DECAY: f64 = 0.06;
 
@@ -63,7 +65,7 @@
     /// equally. A contract states a tenant's guarantee and priority, and a maximum that applies at every
     /// step.
     pub(super) fn assign_budgets(&mut self, now: Millis) {
-        let mut spare = self.capacity_per_weight * self.usable_weight(now);
+        let mut spare = self.usable_weight(now).map_or(0.0, |weight| self.capacity_per_weight * weight);
         let mut recent: Vec<&mut TenantAccount> = self
             .tenants
             .values_mut()
@@ -100,13 +102,33 @@
         }
     }
 
-    /// Updates the learned capacity per unit of weight.
+    /// Updates the learned capacity per unit of weight, and what backends show of trouble.
     ///
-    /// With load reports it moves towards a claim in proportion to this node's open load. Without them it
-    /// grows slowly. In a shortage it is cut below the open load in either case.
+    /// With load reports the capacity moves towards a claim in proportion to this node's open load. Without
+    /// them it grows slowly. In a shortage it is cut below the open load in either case. While no backend is
+    /// usable there is nothing to divide the load by, so the capacity stays as it is.
     pub(super) fn learn_capacity(&mut self, now: Millis) {
-        let weight = self.usable_weight(now).max(f64::MIN_POSITIVE);
-        let (mut observed, mut trouble, mut pressure) = (f64::MIN_POSITIVE, 0.0, 0.0);
+        let trouble = self.observe_trouble(now);
+        let new = !self.has_adopted && self.started.is_some_and(|at| now - at < NEWCOMER_QUOTA_MS);
+        let min_open = if new { self.settings.quota_per_node() } else { 0.0 };
+        let open = self.tenants.values().map(|account| account.load).sum::<f64>().max(min_open);
+        let reported_load = self.mean_report(now, REPORT_DECAY_MS);
+        self.mean_load = reported_load.map(|(mean, _)| mean);
+        let weight = self.usable_weight(now);
+        if let Some(weight) = weight {
+            self.follow_reports(open / weight, weight, reported_load);
+        }
+        self.calm_share = trouble.calm_share();
+        if let Some(weight) = weight {
+            self.cut_capacity_in_shortage(open / weight, &trouble);
+            self.capacity_per_weight = self.capacity_per_weight.min(MAX_CAPACITY / weight);
+        }
+        self.update_rates(now, weight, INTERVAL_MS, self.calm_share < 1.0 - SHORTAGE_TROUBLED_SHARE);
+    }
+
+    /// Takes what the usable backends have shown of trouble since the last interval.
+    fn observe_trouble(&mut self, now: Millis) -> Trouble {
+        let mut trouble = Trouble { observed: f64::MIN_POSITIVE, troubled: 0.0, pressure: 0.0 };
         for record in self.backends.values_mut().filter(|s| s.usable(now)) {
             record.resets = 0;
             // A backend without connections of this node can't show trouble here; it does not count as calm
@@ -117,44 +139,63 @@
             record.peak_load = if troubled { peak.max(load).max(1.0) } else { peak };
             let strained = troubled || load > BUSY_LOAD;
             if strained || record.open > 0 {
-                observed += record.capacity;
+                trouble.observed += record.capacity;
             }
             if strained {
-                (trouble, pressure) =
-                    (trouble + record.capacity, pressure + record.capacity * load.max(TARGET_LOAD));
+                trouble.troubled += record.capacity;
+                trouble.pressure += record.capacity * load.max(TARGET_LOAD);
             }
         }
-        let new = !self.has_adopted && self.started.is_some_and(|at| now - at < NEWCOMER_QUOTA_MS);
-        let min_open = if new { self.settings.quota_per_node() } else { 0.0 };
-        let open = self.tenants.values().map(|account| account.load).sum::<f64>().max(min_open);
-        let reported_load = self.mean_report(now, REPORT_DECAY_MS);
-        self.mean_load = reported_load.map(|(mean, _)| mean);
-        if let Some((mean, fresh)) = reported_load {
-            let own_load = open.max(self.settings.quota_per_node() / 4.0);
-            let claim = own_load / weight * TARGET_LOAD / mean.max(0.05);
-            // With spare capacity a drop of this node's load means that clients disconnected and will
-            // reconnect, not that capacity was lost.
-            let down = if mean < SPARE_CAPACITY_LOAD { 0.0 } else { CLAIM_STEP_DOWN };
-            // The clients of a stopped node arrive all at once; while backends are calm, admit them faster.
-            let up = if self.calm_share > MOSTLY_CALM_SHARE { CLAIM_STEP_UP_CALM } else { CLAIM_STEP_UP };
-            let step = if claim > self.capacity_per_weight { up } else { down };
-            self.capacity_per_weight += (claim - self.capacity_per_weight) * step * fresh;
-        } else {
+        trouble
+    }
+
+    /// Moves the capacity towards the claim that the load reports allow; without reports it grows slowly.
+    /// `open_per_weight` is this node's open load for each unit of usable weight.
+    fn follow_reports(&mut self, open_per_weight: f64, weight: f64, reported_load: Option<(f64, f64)>) {
+        let Some((mean, fresh)) = reported_load else {
             self.capacity_per_weight *= 1.0 + CAPACITY_RECOVERY_PER_SECOND * INTERVAL_MS / 1_000.0;
+            return;
+        };
+        let own_load = open_per_weight.max(self.settings.quota_per_node() / 4.0 / weight);
+        let claim = own_load * TARGET_LOAD / mean.max(0.05);
+        // With spare capacity a drop of this node's load means that clients disconnected and will reconnect,
+        // not that capacity was lost.
+        let down = if mean < SPARE_CAPACITY_LOAD { 0.0 } else { CLAIM_STEP_DOWN };
+        // The clients of a stopped node arrive all at once; while backends are calm, admit them faster.
+        let up = if self.calm_share > MOSTLY_CALM_SHARE { CLAIM_STEP_UP_CALM } else { CLAIM_STEP_UP };
+        let step = if claim > self.capacity_per_weight { up } else { down };
+        self.capacity_per_weight += (claim - self.capacity_per_weight) * step * fresh;
+    }
+
+    /// Cuts the capacity below the load carried now if trouble at many backends shows a shortage. Trouble at
+    /// a few is left to the weights.
+    fn cut_capacity_in_shortage(&mut self, open_per_weight: f64, trouble: &Trouble) {
+        let spare_capacity = self.mean_load.is_some_and(|mean| mean <= SPARE_CAPACITY_LOAD);
+        if spare_capacity || self.calm_share >= 1.0 - SHORTAGE_TROUBLED_SHARE {
+            return;
         }
-        // Trouble on many backends is a shortage; trouble on a few is left to the weights.
-        self.calm_share = 1.0 - trouble / observed;
-        if self.calm_share < 1.0 - SHORTAGE_TROUBLED_SHARE
-            && self.mean_load.is_none_or(|mean| mean > SPARE_CAPACITY_LOAD)
-        {
-            let load_factor = if self.calm_share < SEVERE_SHORTAGE_CALM_SHARE {
-                TARGET_LOAD * trouble / pressure
-            } else {
-                1.0 - MAX_CAPACITY_CUT * (1.0 - self.calm_share)
-            };
-            self.capacity_per_weight = self.capacity_per_weight.min(open / weight * load_factor);
-        }
-        self.update_rates(now, weight, INTERVAL_MS, self.calm_share < 1.0 - SHORTAGE_TROUBLED_SHARE);
+        let load_factor = if self.calm_share < SEVERE_SHORTAGE_CALM_SHARE {
+            TARGET_LOAD * trouble.troubled / trouble.pressure
+        } else {
+            1.0 - MAX_CAPACITY_CUT * (1.0 - self.calm_share)
+        };
+        self.capacity_per_weight = self.capacity_per_weight.min(open_per_weight * load_factor);
+    }
+}
+
+/// Capacity of the usable backends that show trouble, or could show it.
+struct Trouble {
+    /// Capacity of the backends that hold connections of this node or are in trouble; never 0.
+    observed: f64,
+    /// The part of it that is in trouble.
+    troubled: f64,
+    /// That part, each backend's capacity times its load over capacity.
+    pressure: f64,
+}
+
+impl Trouble {
+    fn calm_share(&self) -> f64 {
+        1.0 - self.troubled / self.observed
     }
 }
 
--- a/src/logic/discovery.rs
+++ b/src/logic/discovery.rs
@@ -30,13 +30,19 @@
             self.rescale_start_up_capacity(known);
         }
         self.update_weights(now);
-        let weight = self.usable_weight(now);
-        if self.capacity_per_weight == 0.0 && weight > 0.0 {
+        self.initialize_capacity(now);
+        self.assign_budgets(now);
+        self.release_all(now, out);
+    }
+
+    /// Sets the capacity to start from, if there is none yet and a backend is usable.
+    pub(super) fn initialize_capacity(&mut self, now: Millis) {
+        if self.capacity_per_weight == 0.0
+            && let Some(weight) = self.usable_weight(now)
+        {
             let quota = self.settings.quota_per_node();
             self.capacity_per_weight = if quota > 0.0 { 2.0 * quota } else { 1e6 } / weight;
         }
-        self.assign_budgets(now);
-        self.release_all(now, out);
     }
 
     /// Rescales the capacity per weight when the first list from discovery replaces the start-up list.
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod discovery;
 mod health;
+mod invariants;
 mod limit;
 mod placement;
 mod relief;
@@ -86,6 +87,7 @@
         self.learn_capacity(now);
         self.update_weights(now);
         self.assign_budgets(now);
+        self.repair_numbers(now, out);
         self.relieve_overload(now, out);
         self.release_all(now, out);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -232,11 +232,12 @@
 }
 
 impl Balancer {
-    /// Returns the warmed-up weight of the usable backends.
+    /// Returns the warmed-up weight of the usable backends, which is positive; `None` if none is usable.
     ///
     /// Capacity follows it at once, so that nothing has to be relearned after growth or the loss of a zone.
-    pub(crate) fn usable_weight(&self, now: Millis) -> f64 {
-        self.backends.values().filter(|s| s.usable(now)).map(|s| s.capacity).sum()
+    pub(crate) fn usable_weight(&self, now: Millis) -> Option<f64> {
+        let weight: f64 = self.backends.values().filter(|s| s.usable(now)).map(|s| s.capacity).sum();
+        (weight > 0.0).then_some(weight)
     }
 
     /// Stores a load report.
@@ -274,10 +275,18 @@
     }
 
     /// Smooths the rates at which this node places connections, over the time a backend takes to warm up.
-    pub(crate) fn update_rates(&mut self, now: Millis, weight: f64, interval: Millis, short: bool) {
+    /// The rate for each unit of weight stays as it is while no backend is usable.
+    pub(crate) fn update_rates(&mut self, now: Millis, weight: Option<f64>, interval: Millis, short: bool) {
         let age = (now - self.started.unwrap_or(now)).clamp(interval, self.settings.warm_up_ms.max(interval));
         let placed = std::mem::take(&mut self.placed_in_interval);
-        let sample = placed / weight / interval;
+        if let Some(weight) = weight {
+            self.update_intake(placed / weight / interval, interval, age, short);
+        }
+        self.place_rate += (placed / interval - self.place_rate) * (interval / age).max(0.1);
+    }
+
+    /// Smooths the rate of new connections for each unit of weight towards this sample, over the time `age`.
+    fn update_intake(&mut self, sample: f64, interval: Millis, age: Millis, short: bool) {
         // A burst of reconnecting clients must not be mistaken for what a backend can take.
         let sample =
             if self.intake_per_weight > 0.0 { sample.min(2.0 * self.intake_per_weight) } else { sample };
@@ -285,7 +294,6 @@
         if sample > self.intake_per_weight || !short {
             self.intake_per_weight += (sample - self.intake_per_weight) * interval / age;
         }
-        self.place_rate += (placed / interval - self.place_rate) * (interval / age).max(0.1);
     }
 
     /// Returns the mean reported load over capacity, weighted by size and freshness, and the freshness of the
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -317,3 +317,52 @@
         );
     }
 }
+
+/// Guards against a node without timers (review case 1): while no backend was usable the learned capacity
+/// became infinite, the next list made a tenant's excess NaN, and a timer was set to NaN.
+#[test]
+fn losing_every_backend_sets_no_timer_to_an_invalid_time() {
+    let tenants = vec![Tenant { quota_connections: 20.0, ..Tenant::default() }; 2];
+    let settings = Settings { reports: true, tenants, ..Settings::default() };
+    let mut node = TestNode::with_backends(settings, [backend(1), backend(2)]);
+    let hinted = |id: u64| Request {
+        tenant: TenantId((id % 2) as u32),
+        load_hint: Some([1.0, 4.0][(id / 2 % 2) as usize]),
+        ..request(id)
+    };
+    for id in 0..30 {
+        node.submit(hinted(id));
+        if node.in_flight.contains_key(&RequestId(id)) {
+            node.establish(id);
+        }
+    }
+    report_loads(&mut node, &[0.8, 0.8]);
+    node.run_until(node.now + 1_000.0);
+    for backend in [1, 2] {
+        for outcome in [Outcome::Unreachable, Outcome::Unreachable] {
+            node.handle_event(Event::ProbeEnded { backend: BackendId(backend), outcome, report: None });
+        }
+    }
+    node.run_until(node.now + 600.0);
+    node.handle_event(Event::Backends { scope: ListScope::Patch, entries: vec![backend(3)] });
+    node.run_until(node.now + 600.0);
+    for id in 100..200 {
+        node.submit(hinted(id));
+        for (id, _) in std::mem::take(&mut node.in_flight) {
+            node.handle_event(Event::Established { id, took_ms: 20.0 });
+        }
+    }
+    let invalid: Vec<_> = node.timers.iter().filter(|(at, _)| !at.is_finite()).collect();
+    assert!(invalid.is_empty(), "timers at {invalid:?}");
+    node.run_until(node.now + 3_000.0);
+    for id in 100..200 {
+        assert!(is_answered(&node, id), "request {id} has no answer");
+    }
+}
+
+/// Returns whether the request was sent to a backend or got its final answer.
+fn is_answered(node: &TestNode, id: u64) -> bool {
+    let id = RequestId(id);
+    let is_answer = |action: &Action| matches!(action, Action::Refuse { id: answered, .. } | Action::Fail { id: answered } if *answered == id);
+    node.attempts.contains_key(&id) || node.action_log.iter().any(|(_, action)| is_answer(action))
+}
