Bound weights, load reports, hints and quotas, so that no sum of them overflows

A member that reports a load of 1e308, a listed weight or a hint at the ends of the range, or a site without load reports after four hours made numbers of the state infinite, which lasts. Cause: each was only checked to be finite, and sums and products of finite numbers are not; without load reports the learned capacity grew by 5 % a second with no end. Change: each input has a range where it is taken in (src/state.rs, src/api.rs).

--- a/src/api.rs
+++ b/src/api.rs
@@ -6,6 +6,9 @@
 /// Milliseconds: a clock reading or a duration.
 pub type Millis = f64;
 
+/// Largest sum of all tenants' quotas that is reckoned with.
+const MAX_QUOTA: f64 = 1e9;
+
 /// A client request, or the connection it became. The node picks the number and never reuses it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
@@ -228,14 +231,14 @@
     /// Returns one node's part of all tenants' quotas of open connections; 0 if none is stated.
     pub fn quota_per_node(&self) -> f64 {
         let all: f64 = self.tenants.iter().map(|tenant| tenant.quota_connections).sum();
-        all / f64::from(self.balancers.max(1))
+        all.clamp(0.0, MAX_QUOTA) / f64::from(self.balancers.max(1))
     }
 
     /// Returns one node's part of all tenants' quotas of new connections, per millisecond; `None` if none is
     /// stated.
     pub fn quota_rate_per_node(&self) -> Option<f64> {
         let all: f64 = self.tenants.iter().map(|tenant| tenant.quota_rate).sum();
-        (all > 0.0).then(|| all / 1_000.0 / f64::from(self.balancers.max(1)))
+        (all > 0.0).then(|| all.min(MAX_QUOTA) / 1_000.0 / f64::from(self.balancers.max(1)))
     }
 }
 
--- a/src/logic/invariants/tests.rs
+++ b/src/logic/invariants/tests.rs
@@ -46,12 +46,38 @@
     },
 }
 
-fn entry() -> impl Strategy<Value = BackendInfo> {
+/// Which values a test draws.
+#[derive(Clone, Copy, PartialEq)]
+enum Values {
+    /// Those that sound peers send.
+    Usual,
+    /// Also those at the ends of what a wire can carry.
+    Extreme,
+}
+
+impl Values {
+    fn draw(self, usual: std::ops::Range<f64>) -> BoxedStrategy<f64> {
+        let extreme = vec![0.0, -1.0, 5e-324, 1e-300, 1e300, f64::MAX, f64::INFINITY, f64::NAN];
+        match self {
+            Values::Usual => usual.boxed(),
+            Values::Extreme => prop_oneof![8 => usual, 1 => prop::sample::select(extreme)].boxed(),
+        }
+    }
+}
+
+fn entry(values: Values) -> impl Strategy<Value = BackendInfo> {
     let phase = prop_oneof![4 => Just(Phase::Serving), 1 => Just(Phase::Draining), 1 => Just(Phase::Gone)];
     let started_at = prop_oneof![2 => Just(None), 1 => (0.0..20_000.0).prop_map(Some)];
-    (0..BACKENDS, phase, 0..2u32, 0.5..2.0, started_at).prop_map(|(id, phase, zone, weight, started_at)| {
-        BackendInfo { id: BackendId(id), phase, zone: ZoneId(zone), cell: 0, weight, started_at }
-    })
+    (0..BACKENDS, phase, 0..2u32, values.draw(0.5..2.0), started_at).prop_map(
+        |(id, phase, zone, weight, started_at)| BackendInfo {
+            id: BackendId(id),
+            phase,
+            zone: ZoneId(zone),
+            cell: 0,
+            weight,
+            started_at,
+        },
+    )
 }
 
 fn outcome() -> impl Strategy<Value = Outcome> {
@@ -65,22 +91,22 @@
     ])
 }
 
-fn step() -> impl Strategy<Value = Step> {
+fn step(values: Values) -> impl Strategy<Value = Step> {
     let scope =
         prop_oneof![4 => Just(ListScope::Patch), 2 => Just(ListScope::Whole), 1 => Just(ListScope::Stale)];
-    let list = (scope, prop::collection::vec(entry(), 0..4));
-    let hint = prop_oneof![1 => Just(None), 3 => (0.2..5.0f64).prop_map(Some)];
+    let list = (scope, prop::collection::vec(entry(values), 0..4));
+    let hint = prop_oneof![1 => Just(None), 3 => values.draw(0.2..5.0).prop_map(Some)];
     let pass = prop_oneof![4 => 0.0..400.0, 3 => 400.0..1_200.0, 1 => 1_200.0..30_000.0];
     prop_oneof![
         3 => list.prop_map(|(scope, entries)| Step::List { scope, entries }),
-        4 => (0..BACKENDS, 0.0..1.5f64).prop_map(|(backend, load)| Step::Report { backend, load }),
+        4 => (0..BACKENDS, values.draw(0.0..1.5)).prop_map(|(backend, load)| Step::Report { backend, load }),
         4 => (0..BACKENDS, outcome()).prop_map(|(backend, outcome)| Step::ProbeFailed { backend, outcome }),
-        1 => (0..BACKENDS, 0.0..200.0).prop_map(|(backend, took_ms)| Step::Delay { backend, took_ms }),
-        12 => (0..3u32, hint, 50.0..2_000.0)
+        1 => (0..BACKENDS, values.draw(0.0..200.0)).prop_map(|(backend, took_ms)| Step::Delay { backend, took_ms }),
+        12 => (0..3u32, hint, values.draw(50.0..2_000.0))
             .prop_map(|(tenant, hint, grace_ms)| Step::Request { tenant, hint, grace_ms }),
         6 => outcome().prop_map(Step::Attempts),
         1 => outcome().prop_map(Step::Connections),
-        1 => (0.0..1e5f64).prop_map(|load| Step::LoadChanged { load }),
+        1 => values.draw(0.0..1e5).prop_map(|load| Step::LoadChanged { load }),
         1 => Just(Step::DiscoveryFailed),
         1 => (0..4u32).prop_map(Step::NodeCount),
         8 => pass.prop_map(|ms| Step::Pass { ms }),
@@ -225,8 +251,8 @@
     steps.into_iter().try_for_each(|step| play.play(step))
 }
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
-    prop::collection::vec(step(), 1..120)
+fn steps(values: Values) -> impl Strategy<Value = Vec<Step>> {
+    prop::collection::vec(step(values), 1..120)
 }
 
 proptest! {
@@ -242,7 +268,16 @@
     #[test]
     fn all_numbers_stay_finite_in_any_order_of_usual_events(
         quota in 0.0..40.0f64,
-        steps in steps(),
+        steps in steps(Values::Usual),
+    ) {
+        play_all(quota, steps)?;
+    }
+
+    /// Guards against the same from weights, loads, hints and delays at the ends of what a wire can carry.
+    #[test]
+    fn all_numbers_stay_finite_whatever_peers_send(
+        quota in Values::Extreme.draw(0.0..40.0),
+        steps in steps(Values::Extreme),
     ) {
         play_all(quota, steps)?;
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,19 @@
 /// Sample count up to which the mean load hint is a plain average. Each later hint has a weight of 1/200.
 const MAX_HINT_SAMPLES: f64 = 200.0;
 
+/// Range of listed weights; one outside it counts as the nearest.
+const MIN_LISTED_WEIGHT: f64 = 1e-9;
+const MAX_LISTED_WEIGHT: f64 = 1e9;
+/// Weight of a backend whose listed weight is not a positive number.
+const INVALID_LISTED_WEIGHT: f64 = 1e-3;
+/// Largest load over capacity that a report may state.
+const MAX_REPORTED_LOAD: f64 = 100.0;
+/// Range of load hints, in the clients' own unit.
+const MIN_LOAD_HINT: f64 = 1e-15;
+const MAX_LOAD_HINT: f64 = 1e15;
+/// Largest work of one connection, in microseconds a second.
+const MAX_CONNECTION_WORK: f64 = 1e9;
+
 /// One tenant's demand, open connections and budget. Loads are in usual hints: a usual connection has load 1.
 #[derive(Default)]
 pub struct TenantAccount {
@@ -244,7 +257,7 @@
     pub(crate) fn record_report(&mut self, now: Millis, backend: BackendId, report: Option<Report>) {
         let x0 = report.and_then(|r| r.load_over_capacity).filter(|x0| x0.is_finite() && *x0 >= 0.0);
         if let (Some(record), Some(x0)) = (self.backends.get_mut(&backend), x0) {
-            (record.report, record.open_at_report) = (Some((x0, now)), record.open);
+            (record.report, record.open_at_report) = (Some((x0.min(MAX_REPORTED_LOAD), now)), record.open);
         }
     }
 
@@ -329,6 +342,7 @@
     /// while capacity is counted in usual connections.
     pub(crate) fn normalize_hint(&mut self, mut request: Request) -> Request {
         if let Some(hint) = request.load_hint.filter(|hint| hint.is_finite() && *hint > 0.0) {
+            let hint = hint.clamp(MIN_LOAD_HINT, MAX_LOAD_HINT);
             self.hint_samples = (self.hint_samples + 1.0).min(MAX_HINT_SAMPLES);
             self.usual_hint += (hint - self.usual_hint) / self.hint_samples;
             request.load_hint = Some(hint / self.usual_hint);
@@ -371,6 +385,7 @@
         let Some(entry) = self.entries.get_mut(&id).filter(|_| work.is_finite() && work >= 0.0) else {
             return;
         };
+        let work = work.min(MAX_CONNECTION_WORK);
         let change = work - std::mem::replace(&mut entry.work, work);
         if let Some(mean) = self.class_work.get_mut(entry.request.class.0 as usize) {
             *mean = if *mean > 0.0 { *mean + (work - *mean) * 0.05 } else { work };
@@ -382,9 +397,13 @@
 }
 
 impl BackendRecord {
-    /// Returns the listed weight, or a small positive one if the list gives none that is valid.
+    /// Returns the listed weight within its range, or a small one if the list gives none that is valid.
     pub fn size(&self) -> f64 {
-        if self.info.weight.is_finite() && self.info.weight > 0.0 { self.info.weight } else { 1e-3 }
+        if self.info.weight.is_finite() && self.info.weight > 0.0 {
+            self.info.weight.clamp(MIN_LISTED_WEIGHT, MAX_LISTED_WEIGHT)
+        } else {
+            INVALID_LISTED_WEIGHT
+        }
     }
 }
 
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -366,3 +366,18 @@
     let is_answer = |action: &Action| matches!(action, Action::Refuse { id: answered, .. } | Action::Fail { id: answered } if *answered == id);
     node.attempts.contains_key(&id) || node.action_log.iter().any(|(_, action)| is_answer(action))
 }
+
+/// Guards against a capacity that grows without bound where no load is reported: after some four hours it was
+/// infinite, and so were the budgets.
+#[test]
+fn the_limit_stays_finite_over_hours_without_load_reports() {
+    let mut node = TestNode::with_backends(Settings::default(), [backend(1)]);
+    node.open(request(1));
+    for _ in 0..6 * 3_600 * 2 {
+        node.now += 500.0;
+        node.handle_event(Event::Timer(TimerId(0)));
+    }
+    let faults: Vec<_> = node.action_log.iter().filter(|(_, a)| matches!(a, Action::Fault(_))).collect();
+    assert!(faults.is_empty(), "{faults:?}");
+    assert!(node.balancer.tenant_views().all(|view| view.budget.is_finite()));
+}
