Start a part of the node again when it panics, and let no timer hold back the others

A panic ended the task that fires the timers, and nothing noticed: the node said yes to PING, answered no request and moved no client. The same could happen to the watch of discovery and to both listeners; a panic within the broker's dispatch left a flag set with which it handles no event any more, and a session's left its transaction and descriptor behind. Change: src/net/supervisor.rs runs these tasks, logs and counts a panic and starts the part again; src/restart.rs decides when, and from when on the node is not ready. A restart is chosen over an exit, which cuts off clients without MOVE, and over a drain, which needs the timers. A panic on a client's path ends that client only. A timer at NaN is a counted fault and fires; before, a negative NaN sorted first in the heap and held back all others.

--- a/src/broker/counters.rs
+++ b/src/broker/counters.rs
@@ -158,6 +158,10 @@
     reloads,
     /// Reloads that were rejected as invalid.
     reloads_refused,
+    /// Panics of parts of the node and of sessions; more than zero is a defect.
+    panics,
+    /// Faults that the decision module reported; more than zero is a defect of the module.
+    module_faults,
     /// Records lost by the event log, if recording is on.
     records_lost,
     /// Established connections at present.
--- a/src/broker/leaving.rs
+++ b/src/broker/leaving.rs
@@ -36,6 +36,8 @@
     NoMember,
     /// A newer process runs under this node's name.
     Superseded,
+    /// A part of the node without which clients are not served keeps failing.
+    Failing,
     /// The node was told to drain.
     Draining,
     /// The node shuts down.
@@ -48,6 +50,7 @@
             Unready::NoList => "no list yet",
             Unready::NoMember => "no member listed",
             Unready::Superseded => "a later process has this node's name",
+            Unready::Failing => "a part of the node keeps failing",
             Unready::Draining => "draining",
             Unready::Ending => "ending",
         })
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -47,6 +47,9 @@
 /// A list that changes more members than this is logged in one line instead of one line per member.
 const MAX_MEMBER_LOG_LINES: usize = 128;
 
+/// Delay of a timer that the decision module sets to a time that is not a number.
+const INVALID_TIMER_DELAY_MS: Millis = 100.0;
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
     /// No flow is open.
@@ -127,6 +130,8 @@
     delays: MessageDelays,
     probing: Probing,
     timers: Timers<Due>,
+    /// Timers that have fallen due and are not handled yet.
+    due: VecDeque<Due>,
     events: VecDeque<Event>,
     /// An event is being passed to the decision module; further ones are queued.
     dispatching: bool,
@@ -136,6 +141,8 @@
     shutdown_times: ShutdownTimes,
     /// A newer process runs under this node's name.
     superseded: bool,
+    /// A part of the node without which clients are not served keeps failing.
+    failing: bool,
     /// The next `LeaveStep` timer is set.
     step_scheduled: bool,
     driver_commands: VecDeque<DriverCommand>,
@@ -165,6 +172,7 @@
             parked: BTreeMap::new(),
             awaiting_list: BTreeSet::new(),
             timers: Timers::default(),
+            due: VecDeque::new(),
             events: VecDeque::new(),
             dispatching: false,
             watching: false,
@@ -172,6 +180,7 @@
             leaving: Leaving::No,
             shutdown_times: ShutdownTimes::new(site.longest_deadline_ms),
             superseded: false,
+            failing: false,
             step_scheduled: false,
             driver_commands: VecDeque::new(),
             counters: Counters::default(),
@@ -284,7 +293,7 @@
 
     /// Time at which [`Broker::tick`] is due.
     pub fn next_due(&self) -> Option<Millis> {
-        self.timers.next()
+        if self.due.is_empty() { self.timers.next() } else { Some(Millis::NEG_INFINITY) }
     }
 
     /// Version of the current list.
@@ -317,6 +326,7 @@
     /// down.
     pub fn readiness(&self) -> Result<(), Unready> {
         match self.leaving {
+            Leaving::No if self.failing => Err(Unready::Failing),
             Leaving::No if self.superseded => Err(Unready::Superseded),
             Leaving::No if !self.ready => Err(Unready::NoList),
             Leaving::No if self.pool.members().next().is_none() => Err(Unready::NoMember),
@@ -332,6 +342,30 @@
         self.superseded = superseded;
     }
 
+    /// Sets whether a part of the node without which clients are not served keeps failing. While one does,
+    /// no front may send clients here.
+    pub fn set_failing(&mut self, failing: bool) {
+        self.failing = failing;
+    }
+
+    /// Counts a panic of a part of the node; `failing` as for [`Broker::set_failing`].
+    pub fn part_panicked(&mut self, failing: bool) {
+        self.counters.panics += 1;
+        self.failing = failing;
+    }
+
+    /// Counts a panic of a client's session and ends its transaction: the client is cut off.
+    pub fn session_panicked(&mut self, now: Millis, id: TransactionId) {
+        self.counters.panics += 1;
+        self.on_client_left(now, id);
+    }
+
+    /// Makes the broker fit for the next call after one has panicked. Events and timers that it had not
+    /// handled yet are handled then.
+    pub fn recover_from_panic(&mut self) {
+        self.dispatching = false;
+    }
+
     // ---- Pool ----
 
     /// Applies a list or patch from discovery that was current at `as_of`.
@@ -403,7 +437,7 @@
     pub fn on_front_event(&mut self, now: Millis, id: TransactionId, front_event: FrontEvent) {
         match front_event {
             FrontEvent::ClientRequest(client_request) => self.on_client_request(now, id, client_request),
-            FrontEvent::Ping if self.superseded || !self.leaving.takes_clients() => {
+            FrontEvent::Ping if self.superseded || self.failing || !self.leaving.takes_clients() => {
                 self.driver_commands.push_back(DriverCommand::Front(id, Command::Unready))
             }
             FrontEvent::Ping if self.ready => {
@@ -493,14 +527,22 @@
             // to tell.
             Action::CloseIdle { .. } | Action::SendToPeer { .. } => {}
             Action::Log(what) => self.log(LogLine::Module(what)),
-            Action::Fault(what) => {
-                self.recorder.append(now, || record::Fault { what: what.chars().take(200).collect() }.into());
-                self.log(LogLine::Fault(what))
+            Action::Fault(what) => self.module_fault(now, what),
+            Action::SetTimer { at, id } if at.is_nan() => {
+                self.module_fault(now, format!("timer {} set to a time that is not a number", id.0));
+                self.timers.set(now + INVALID_TIMER_DELAY_MS, Due::Module(id));
             }
             Action::SetTimer { at, id } => self.timers.set(at, Due::Module(id)),
         }
     }
 
+    /// Counts, records and logs a defect of the decision module.
+    fn module_fault(&mut self, now: Millis, what: String) {
+        self.counters.module_faults += 1;
+        self.recorder.append(now, || record::Fault { what: what.chars().take(200).collect() }.into());
+        self.log(LogLine::Fault(what));
+    }
+
     fn log(&mut self, line: LogLine) {
         self.driver_commands.push_back(DriverCommand::Log(line));
     }
@@ -509,7 +551,8 @@
 
     /// Handles all timers that are due.
     pub fn tick(&mut self, now: Millis) {
-        for due in self.timers.pop_due(now) {
+        self.due.extend(self.timers.pop_due(now));
+        while let Some(due) = self.due.pop_front() {
             match due {
                 Due::Module(id) => self.feed(now, Event::Timer(id)),
                 Due::ConnectTimeout(id, flow) if self.attempt_connected(id, flow) == Some(false) => {
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -572,3 +572,45 @@
     assert_eq!(ends(&mut harness), 1);
     assert!(!harness.broker.drain(0.0) && !harness.broker.resume());
 }
+
+/// Guards against timers that are held back for good by one whose time is not a number (review case 1).
+#[test]
+fn a_timer_at_no_number_holds_no_other_back() {
+    let mut harness = Harness::new(&["a"]);
+    harness.broker.timers.set(-f64::NAN, Due::LeaveStep);
+    let invalid = Action::SetTimer { at: f64::NAN, id: TimerId(99) };
+    harness.broker.execute(0.0, invalid);
+    assert_eq!(harness.broker.counters.module_faults, 1);
+    let id = harness.open(request());
+    harness.run(1_500.0);
+    assert_eq!(harness.answers(id), 1);
+    assert!(harness.broker.next_due().is_none_or(|due| due > harness.now));
+}
+
+/// Guards against a node that handles no event any more after one has panicked.
+#[test]
+fn events_and_timers_are_handled_after_a_panic() {
+    let mut harness = Harness::new(&["a"]);
+    // As a panic in the middle of an event leaves it.
+    harness.broker.dispatching = true;
+    harness.broker.due.push_back(Due::LeaveStep);
+    harness.broker.recover_from_panic();
+    let id = harness.open(request());
+    harness.run(1_500.0);
+    assert_eq!(harness.answers(id), 1);
+    assert!(harness.broker.due.is_empty());
+}
+
+/// Guards against a node that says that it is ready while a part that clients need keeps failing.
+#[test]
+fn a_node_with_a_failing_part_is_not_ready() {
+    let mut harness = Harness::new(&["a"]);
+    harness.broker.set_ready();
+    harness.broker.part_panicked(true);
+    assert_eq!(harness.broker.readiness(), Err(Unready::Failing));
+    let id = harness.broker.next_id();
+    harness.on_front_event(id, FrontEvent::Ping);
+    assert_eq!(harness.commands(id), [Command::Unready]);
+    harness.broker.set_failing(false);
+    assert_eq!(harness.broker.readiness(), Ok(()));
+}
--- a/src/broker/timers.rs
+++ b/src/broker/timers.rs
@@ -24,7 +24,10 @@
 }
 
 impl<T> Timers<T> {
+    /// Sets a timer. A time that is not a number counts as due: it would sort before all others and hold
+    /// them back for good.
     pub(super) fn set(&mut self, at: Millis, item: T) {
+        let at = if at.is_nan() { Millis::NEG_INFINITY } else { at };
         self.set += 1;
         self.heap.push(Reverse(Timer { at, seq: self.set, item }));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod operator;
 pub mod platform;
 pub mod pool;
+mod restart;
 mod state;
 mod view;
 pub mod xmpp;
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -31,7 +31,7 @@
 }
 
 /// Accepts admin connections; `classes` holds the class names that the metrics use.
-pub(super) async fn accept(node: Rc<Node>, listener: TcpListener, classes: Vec<String>) {
+pub(super) async fn accept(node: Rc<Node>, listener: Rc<TcpListener>, classes: Vec<String>) {
     let classes: Rc<[String]> = classes.into();
     // Open connections, oldest first: dropping the sender closes the connection.
     let mut connections: VecDeque<oneshot::Sender<()>> = VecDeque::new();
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -377,7 +377,9 @@
         Ok(()) => Readiness::Serving,
         Err(Unready::Draining) => Readiness::Draining,
         Err(Unready::Ending) => Readiness::Ending,
-        Err(Unready::NoList | Unready::NoMember | Unready::Superseded) => Readiness::NotReady,
+        Err(Unready::NoList | Unready::NoMember | Unready::Superseded | Unready::Failing) => {
+            Readiness::NotReady
+        }
     };
     let (room, capacity) = node.descriptors.borrow().room();
     let mut own_info = link.own_info.borrow_mut();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 mod recorder;
 mod reload;
 mod session;
+mod supervisor;
 mod watch;
 
 pub use log::{LogFormat, logger};
@@ -18,6 +19,7 @@
 use crate::broker::{Broker, Command, DriverCommand, FrontEvent, LogLine, TransactionId};
 use crate::config::Config;
 use crate::front::{Front, Input};
+use crate::restart::Restart;
 use crate::xmpp::XmppSettings;
 use crate::{platform, xmpp};
 use descriptors::{DescriptorBudget, Evicted, NO_ROOM_RETRY_MS};
@@ -25,12 +27,14 @@
 use reload::Source;
 use slog::{Logger, debug, info, warn};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use supervisor::Part;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
@@ -50,6 +54,9 @@
 /// Interval between checks for a usable list from [`CONFIGURED_LIST_AFTER_MS`] to [`READY_DEADLINE_MS`].
 const READY_POLL_MS: u64 = 100;
 
+/// Longest time after the start that a timer can be set to; a later one, or none at all, counts as this.
+const MAX_TIMER_SECONDS: f64 = 1e9;
+
 /// Monotonic clock in Unix milliseconds: the Unix time of the process's start plus the time elapsed since.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -80,8 +87,11 @@
         self.base + self.started.elapsed().as_secs_f64() * 1_000.0
     }
 
+    /// Returns the instant of a time of the broker. A time that is not a number counts as past, so that
+    /// whoever set it looks again.
     fn instant(&self, at: Millis) -> tokio::time::Instant {
-        let after = ((at - self.base) / 1_000.0).clamp(0.0, 1e9);
+        let after = (at - self.base) / 1_000.0;
+        let after = if after.is_nan() { 0.0 } else { after.clamp(0.0, MAX_TIMER_SECONDS) };
         (self.started + Duration::from_secs_f64(after)).into()
     }
 }
@@ -113,6 +123,8 @@
     /// Signals that the time of the broker's next timer has changed.
     timer_changed: Notify,
     keepalive: Duration,
+    /// Parts that keep failing and without which clients are not served.
+    failing_parts: RefCell<BTreeSet<Part>>,
     recorder: Option<Recorder>,
     /// The link to the fleet, once its port is bound.
     fleet: RefCell<Option<Rc<fleet::Link>>>,
@@ -123,13 +135,20 @@
 }
 
 impl Node {
-    /// Runs `act` on the broker, then executes the commands that it has queued.
+    /// Runs `act` on the broker, then executes the commands that it has queued. If `act` panics, the broker
+    /// is made fit for the next call before the panic goes on.
     fn with<T>(self: &Rc<Self>, act: impl FnOnce(&mut Broker, Millis) -> T) -> T {
         let now = self.clock.now();
         let (done, driver_commands, due_changed) = {
             let mut broker = self.broker.borrow_mut();
             let before = broker.next_due();
-            let done = act(&mut broker, now);
+            let done = match catch_unwind(AssertUnwindSafe(|| act(&mut broker, now))) {
+                Ok(done) => done,
+                Err(panic) => {
+                    broker.recover_from_panic();
+                    resume_unwind(panic)
+                }
+            };
             let driver_commands: Vec<DriverCommand> =
                 std::iter::from_fn(|| broker.driver_command()).collect();
             (done, driver_commands, broker.next_due() != before)
@@ -227,6 +246,33 @@
         }
     }
 
+    /// Logs that a part has panicked and is started again. While it keeps failing the node is not ready.
+    fn part_failed(self: &Rc<Self>, part: Part, restart: Restart) {
+        slog::error!(self.log, "part of the node panicked, starting it again";
+            "part" => %part, "delay_ms" => restart.delay_ms, "keeps_failing" => restart.keeps_failing);
+        if restart.keeps_failing && part.is_needed_by_clients() {
+            self.failing_parts.borrow_mut().insert(part);
+        }
+        let failing = !self.failing_parts.borrow().is_empty();
+        self.with(|broker, _| broker.part_panicked(failing));
+    }
+
+    /// Takes note that a part has worked for some time since its last start.
+    fn part_works(self: &Rc<Self>, part: Part) {
+        if self.failing_parts.borrow_mut().remove(&part) {
+            info!(self.log, "part of the node works again"; "part" => %part);
+            let failing = !self.failing_parts.borrow().is_empty();
+            self.with(|broker, _| broker.set_failing(failing));
+        }
+    }
+
+    /// Ends what a client's session left behind when it panicked.
+    fn session_panicked(self: &Rc<Self>, id: TransactionId) {
+        slog::error!(self.log, "session panicked, its client is cut off"; "transaction" => id.0);
+        self.descriptors.borrow_mut().release(id);
+        self.with(|broker, now| broker.session_panicked(now, id));
+    }
+
     /// Reports evicted clients and probes to the broker and the log.
     fn report_evicted(self: &Rc<Self>, evicted: Evicted) {
         let Evicted { clients, probes } = evicted;
@@ -280,6 +326,9 @@
     Xmpp(XmppSettings, PathBuf),
 }
 
+/// Creates the front of a client that connects at the given time.
+type FrontFactory = Box<dyn Fn(Millis) -> Box<dyn Front>>;
+
 /// Runs a node until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -363,6 +412,7 @@
         watching: std::cell::Cell::new(false),
         timer_changed: Notify::new(),
         keepalive: Duration::from_secs_f64(config.site.keepalive_ms / 1_000.0),
+        failing_parts: RefCell::default(),
         recorder,
         fleet: RefCell::default(),
         in_fleet: config.fleet.is_some(),
@@ -380,20 +430,28 @@
     }
     if let Some(admin) = admin {
         info!(node.log, "operators may call"; "address" => %admin.local_addr()?);
-        tokio::task::spawn_local(admin::accept(node.clone(), admin, config.site.classes.clone()));
+        let (calls, admin, classes) = (node.clone(), Rc::new(admin), config.site.classes.clone());
+        supervisor::spawn(&node, Part::AdminListener, move || {
+            admin::accept(calls.clone(), admin.clone(), classes.clone())
+        });
     }
     node.with(|_, _| ()); // executes the commands that the configured member list has queued
-    tokio::task::spawn_local(run_timers(node.clone()));
+    let timers = node.clone();
+    supervisor::spawn(&node, Part::Timers, move || run_timers(timers.clone()));
     if node.recorder.is_some() {
-        tokio::task::spawn_local(recorder::flush_periodically(node.clone()));
+        let records = node.clone();
+        supervisor::spawn(&node, Part::Recorder, move || recorder::flush_periodically(records.clone()));
     }
     match config.discovery {
-        Some(_) => drop(tokio::task::spawn_local(watch::watch(node.clone(), config.site.zones.clone()))),
+        Some(_) => {
+            let (watched, zones) = (node.clone(), config.site.zones.clone());
+            supervisor::spawn(&node, Part::Discovery, move || watch::watch(watched.clone(), zones.clone()));
+        }
         None => node.with(|broker, _| broker.set_ready()),
     }
     let listener_passed = config.passed_socket.is_some();
     let mut source;
-    let front: Box<dyn Fn(Millis) -> Box<dyn Front>> = match front_config {
+    let front: FrontFactory = match front_config {
         FrontConfig::Platform(file) => {
             let platform_settings = Rc::new(platform::PlatformSettings::new(&config.site));
             source = Source::Config(file, Box::new(config));
@@ -405,7 +463,10 @@
             Box::new(move |now| Box::new(xmpp::Session::new(now, xmpp_settings.clone())))
         }
     };
-    tokio::task::spawn_local(accept(node.clone(), listener, front, listener_passed));
+    let (clients, listener, front) = (node.clone(), Rc::new(listener), Rc::new(front));
+    supervisor::spawn(&node, Part::ClientListener, move || {
+        accept(clients.clone(), listener.clone(), front.clone(), listener_passed)
+    });
     let waiting = node.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(CONFIGURED_LIST_AFTER_MS)).await;
@@ -479,14 +540,11 @@
 
 /// Accepts clients. On a passed listener it does so only while this process is ready and not shutting down,
 /// as another process may accept on it as well.
-async fn accept(
-    node: Rc<Node>,
-    listener: TcpListener,
-    front: Box<dyn Fn(Millis) -> Box<dyn Front>>,
-    listener_passed: bool,
-) {
+async fn accept(node: Rc<Node>, listener: Rc<TcpListener>, front: Rc<FrontFactory>, listener_passed: bool) {
     if listener_passed {
         node.ready_to_accept.notified().await;
+        // Kept for this task's next start, should it be started again.
+        node.ready_to_accept.notify_one();
     }
     loop {
         let accepted = tokio::select! {
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use super::descriptors::NO_ROOM_RETRY_MS;
+use super::supervisor::{Panicked, catch_panic};
 use crate::api::{ClassId, Millis};
 use crate::broker::{Command, FrontEvent, TransactionId};
 use crate::front::{Front, Input, Step};
@@ -46,17 +47,30 @@
     Tick,
 }
 
-/// Runs a session until its connection is closed.
+/// Runs a session until its connection is closed. A panic ends this session only.
 pub(super) async fn run(
     node: Rc<Node>,
     id: TransactionId,
     peer: SocketAddr,
     client: TcpStream,
+    front: Box<dyn Front>,
+    commands: UnboundedReceiver<Command>,
+) {
+    if catch_panic(serve(&node, id, peer, client, front, commands)).await == Err(Panicked) {
+        node.session_panicked(id);
+    }
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    id: TransactionId,
+    peer: SocketAddr,
+    client: TcpStream,
     mut front: Box<dyn Front>,
     mut commands: UnboundedReceiver<Command>,
 ) {
     let _ = client.set_nodelay(true);
-    let outcome = drive(&node, id, peer, &client, front.as_mut(), &mut commands).await;
+    let outcome = drive(node, id, peer, &client, front.as_mut(), &mut commands).await;
     match outcome {
         End::Finish => {
             node.descriptors.borrow_mut().linger(id);
