Let only a whole answer of discovery undo one that was lost on its way

New requests went to members that drain for up to 8 s after discovery had told the node, 7 or 8 by each node; those members answered BUSY. Cause: an answer that was cut off ended the lease on the list, as it should, but a refused call renewed it: Lease::discovery_call_failed took the later of the two ends. The node calls again at once, is refused, and had the whole lease back. Change: the lease holds the beginning of the first answer that was lost, beside its end. Only a whole answer clears it; refused calls, 503, silence and a new address of discovery no longer do. An outage without an answer on its way renews the lease as before.

--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -7,6 +7,10 @@
 //! nothing new until discovery has responded. The list that a process is started with carries no lease,
 //! because it may be of any age.
 //!
+//! What discovery has written counts as known at once. When a response began and did not arrive whole, the
+//! list is outdated: it may be used for the grace from then on, and after that not until a whole response has
+//! arrived. No other event undoes this, as none brings the changes that were lost.
+//!
 //! No I/O and no clock: times are passed in and are those of the caller's monotonic clock.
 
 use crate::api::Millis;
@@ -25,7 +29,10 @@
 /// The lease on the current list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Lease {
+    /// End of the time for which the list may be used, if no response was lost meanwhile.
     expires_at: Millis,
+    /// When the first response began that did not arrive whole, since the last one that did.
+    outdated_since: Option<Millis>,
     duration: Millis,
     /// Time for which new connections may still be sent after a change counts as known, less the safety
     /// margin.
@@ -44,29 +51,42 @@
 impl Lease {
     /// Returns a lease that never expires, for a list that does not come from discovery.
     pub fn unlimited() -> Self {
-        Lease { expires_at: Millis::INFINITY, duration: Millis::INFINITY, grace: Millis::INFINITY }
+        Lease {
+            expires_at: Millis::INFINITY,
+            outdated_since: None,
+            duration: Millis::INFINITY,
+            grace: Millis::INFINITY,
+        }
     }
 
     /// Returns an expired lease. New connections may go to a member for at most `grace_ms` after a change
     /// that excludes it counts as known.
     pub fn none(grace_ms: Millis) -> Self {
         let grace = (grace_ms - CLOCK_MARGIN_MS).max(0.0);
-        Lease { expires_at: Millis::NEG_INFINITY, duration: CHANGE_KNOWN_AFTER_MS + grace, grace }
+        Lease {
+            expires_at: Millis::NEG_INFINITY,
+            outdated_since: None,
+            duration: CHANGE_KNOWN_AFTER_MS + grace,
+            grace,
+        }
     }
 
-    /// Renews the lease: discovery has responded, so the list was current at this time.
+    /// Renews the lease: a whole response has arrived, so the list was current at this time. It holds what
+    /// earlier responses that were lost would have told.
     pub fn renew(&mut self, now: Millis) {
+        self.outdated_since = None;
         self.expires_at = self.expires_at.max(now + self.duration);
     }
 
-    /// Shortens the lease to the grace after `began`, when a response began that is invalid or has stalled
+    /// Limits the lease to the grace after `began`, when a response began that is invalid or has stalled
     /// since. Its changes count as known from when they were written, whether they arrived or not.
     pub fn answer_invalid(&mut self, began: Millis) {
-        self.expires_at = self.expires_at.min(began + self.grace);
+        let since = self.outdated_since.map_or(began, |since| since.min(began));
+        self.outdated_since = Some(since);
     }
 
-    /// Handles a failed call. The lease is renewed if discovery is down, as no change counts as known
-    /// meanwhile.
+    /// Handles a failed call. The lease is renewed if discovery is down, as no further change counts as known
+    /// meanwhile. Changes whose response was lost before do.
     pub fn discovery_call_failed(&mut self, now: Millis, failure: CallFailure) {
         if failure == CallFailure::Down {
             self.expires_at = self.expires_at.max(now + self.duration);
@@ -81,7 +101,8 @@
 
     /// Returns whether new connections may be sent by the current list.
     pub fn is_valid(&self, now: Millis) -> bool {
-        now < self.expires_at
+        let is_outdated = self.outdated_since.is_some_and(|since| now >= since + self.grace);
+        now < self.expires_at && !is_outdated
     }
 }
 
--- a/tests/common/script.rs
+++ b/tests/common/script.rs
@@ -34,7 +34,12 @@
 
 impl ScriptedDiscovery {
     pub fn new() -> ScriptedDiscovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        ScriptedDiscovery::at("127.0.0.1:0")
+    }
+
+    /// Listens at this address, for a discovery that comes back.
+    pub fn at(address: &str) -> ScriptedDiscovery {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap().to_string();
         ScriptedDiscovery { listener, address, connection: None }
     }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -2,8 +2,11 @@
 //! with (`known`) and by answers that arrive late or cut off.
 #[path = "common/node.rs"]
 mod node;
+#[path = "common/script.rs"]
+mod script;
 use hopmoor_standin::sockets::{Member, StandInRuntime};
 use node::*;
+use script::ScriptedDiscovery;
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::thread;
@@ -112,3 +115,36 @@
     let answer = exchange_line(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=1500\r\n");
     assert_eq!((gone.attempts().0 - before, answer.starts_with("BUSY")), (0, true), "{answer}");
 }
+
+/// Guards against requests sent by an old list for as long as discovery is down, after a newer answer was cut
+/// off by its end (review case 2). The calls that were refused renewed the lease that the lost answer had
+/// ended.
+#[test]
+fn nothing_is_sent_by_the_old_list_while_discovery_refuses_after_an_answer_was_cut_off() {
+    let runtime = StandInRuntime::new().unwrap();
+    let drains = Member::start(&runtime, 1).unwrap();
+    let mut discovery = ScriptedDiscovery::new();
+    let node = launch(&config(&discovery.address), |_| ());
+    let name = "s-drains";
+    discovery.serve_first_list(&[(name, &drains.address(), "Ready")]);
+    assert_eq!(exchange_line(&mut node.connect(), "OPEN 1 f c=chat,t=acme,d=1500\r\n"), "UP 1\r\n");
+    let change = script::list(2, false, &[(name, &drains.address(), "Terminating")]);
+    let half = &change[..change.len() / 2];
+    discovery.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", change.len()));
+    let address = discovery.address.clone();
+    discovery.reset();
+    drop(discovery);
+    let written = std::time::Instant::now();
+    // Longer than the grace, and than a refused call takes to renew the lease.
+    assert!(wait_until(3.0, || written.elapsed() > Duration::from_millis(1_200)));
+    let before = drains.attempts().0;
+    let answer = exchange_line(&mut node.connect(), "OPEN 2 f c=chat,t=acme,d=1500\r\n");
+    assert_eq!((drains.attempts().0 - before, answer.starts_with("BUSY")), (0, true), "{answer}");
+    // The answer that holds the change ends this, at once.
+    let mut discovery = ScriptedDiscovery::at(&address);
+    let other = Member::start(&runtime, 3).unwrap();
+    discovery.next_request();
+    let hosts = [(name, &*drains.address(), "Terminating"), ("s-serves", &*other.address(), "Ready")];
+    discovery.answer(&script::list(2, true, &hosts));
+    assert_eq!(exchange_line(&mut node.connect(), "OPEN 3 f c=chat,t=acme,d=1500\r\n"), "UP 3\r\n");
+}
