Split the network driver's main module by job

Need: src/net/mod.rs had grown to 580 lines with the clock, the listener, the shutdown and the wording of the broker's log lines in it. Change: src/net/clock.rs, listener.rs, shutdown.rs and broker_log.rs, moved as they were; Clock::uptime_ms replaces a look at a private field.

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,9 +1,10 @@
 //! Driver of the admin HTTP endpoint. It has file descriptors of its own, so that operators can call the node
 //! however many clients are connected.
 
+use super::Node;
 use super::agree::Agreement;
 use super::fleet::Link;
-use super::{Node, listen};
+use super::listener::listen;
 use crate::admin::{self, Operation, RequestError, RequestParser};
 use slog::{info, warn};
 use std::collections::VecDeque;
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -1,7 +1,8 @@
 //! Driver of the fleet's gossip: one port for UDP datagrams and for TCP exchanges of whole views. State and
 //! decisions are in `hopmoor_fleet`, which does no I/O.
 
-use super::{Node, agree, listen};
+use super::listener::listen;
+use super::{Node, agree};
 use crate::admin;
 use crate::broker::Unready;
 use crate::config;
@@ -384,7 +385,7 @@
     let (room, capacity) = node.descriptors.borrow().room();
     let mut own_info = link.own_info.borrow_mut();
     own_info.ready = ready;
-    own_info.up_ms = (node.clock.now() - node.clock.base) as u64;
+    own_info.up_ms = node.clock.uptime_ms() as u64;
     own_info.room = node_info::room(own_info.room, room as u32, capacity as u32);
     link.fleet.borrow_mut().set_info(own_info.clone());
     let sharing = link.fleet.borrow().sharing(node.clock.now() as u64);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,29 +3,33 @@
 
 mod admin;
 mod agree;
+mod broker_log;
+mod clock;
 mod descriptors;
 mod fleet;
+mod listener;
 mod log;
 mod probe;
 mod recorder;
 mod reload;
 mod session;
+mod shutdown;
 mod supervisor;
 mod watch;
 
+pub use clock::Clock;
 pub use log::{LogFormat, logger};
 
-use crate::api::{BackendId, ClassId, Millis, Outcome};
-use crate::broker::{Broker, Command, DriverCommand, FrontEvent, LogLine, TransactionId};
+use crate::api::{BackendId, ClassId, Millis};
+use crate::broker::{Broker, DriverCommand, FrontEvent, TransactionId};
 use crate::config::Config;
-use crate::front::{Front, Input};
 use crate::restart::Restart;
 use crate::xmpp::XmppSettings;
 use crate::{platform, xmpp};
-use descriptors::{DescriptorBudget, Evicted, NO_ROOM_RETRY_MS};
+use descriptors::{DescriptorBudget, Evicted};
 use recorder::Recorder;
 use reload::Source;
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, info, warn};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
@@ -33,18 +37,13 @@
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use supervisor::Part;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 
-/// Minimum time that a node goes on accepting connections after SIGTERM, as new ones still arrive for a
-/// while.
-const MIN_SHUTDOWN_MS: Millis = 600.0;
-/// Maximum number of connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
 /// Time after the start from which the node uses its configured member list if discovery turns out to be
 /// down.
 const CONFIGURED_LIST_AFTER_MS: u64 = 2_000;
@@ -54,48 +53,6 @@
 /// Interval between checks for a usable list from [`CONFIGURED_LIST_AFTER_MS`] to [`READY_DEADLINE_MS`].
 const READY_POLL_MS: u64 = 100;
 
-/// Longest time after the start that a timer can be set to; a later one, or none at all, counts as this.
-const MAX_TIMER_SECONDS: f64 = 1e9;
-
-/// Monotonic clock in Unix milliseconds: the Unix time of the process's start plus the time elapsed since.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    started: Instant,
-    base: Millis,
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Clock::new()
-    }
-}
-
-impl Clock {
-    /// Creates a clock that starts now.
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), base: unix.as_secs_f64() * 1_000.0 }
-    }
-
-    /// The incarnation, which tells a node's successive processes apart: Unix milliseconds at the process's
-    /// start.
-    pub fn incarnation(&self) -> u64 {
-        self.base as u64
-    }
-
-    fn now(&self) -> Millis {
-        self.base + self.started.elapsed().as_secs_f64() * 1_000.0
-    }
-
-    /// Returns the instant of a time of the broker. A time that is not a number counts as past, so that
-    /// whoever set it looks again.
-    fn instant(&self, at: Millis) -> tokio::time::Instant {
-        let after = (at - self.base) / 1_000.0;
-        let after = if after.is_nan() { 0.0 } else { after.clamp(0.0, MAX_TIMER_SECONDS) };
-        (self.started + Duration::from_secs_f64(after)).into()
-    }
-}
-
 /// The state that a node's drivers share.
 struct Node {
     clock: Clock,
@@ -182,70 +139,6 @@
         }
     }
 
-    fn log_line(&self, line: LogLine) {
-        match line {
-            LogLine::Module(what) => info!(self.log, "decision module"; "what" => what),
-            LogLine::Fault(what) => slog::error!(self.log, "decision module fault"; "what" => what),
-            LogLine::Overdue(id) => {
-                slog::error!(self.log, "no final answer by the deadline, transaction failed";
-                    "transaction" => id.0)
-            }
-            LogLine::Members { changed, listed } => {
-                info!(self.log, "pool members changed"; "changed" => changed, "listed" => listed)
-            }
-            LogLine::AdoptionAwaitsList(id) => {
-                info!(self.log, "adopted connection waits for a list that names its member";
-                    "transaction" => id.0)
-            }
-            LogLine::AdoptedMemberGone(id) => {
-                warn!(self.log, "member of an adopted connection is gone, placing it anew";
-                    "transaction" => id.0)
-            }
-            LogLine::Parked(id) => {
-                debug!(self.log, "attempt waits for an answer of discovery"; "transaction" => id.0)
-            }
-            LogLine::AttemptDenied(id, member) => {
-                warn!(self.log, "attempt denied, member may not be sent to";
-                    "transaction" => id.0, "member" => member)
-            }
-            LogLine::Duplicate(id, name) => {
-                if self.may_log() {
-                    info!(self.log, "name in use"; "transaction" => id.0, "name" => &*name);
-                }
-            }
-            LogLine::Member(member, phase) => {
-                info!(self.log, "pool member"; "member" => member, "phase" => ?phase)
-            }
-            LogLine::SlowMessages(member, ms) => {
-                info!(self.log, "message latency at member changed";
-                    "member" => member, "took_ms" => ms.round())
-            }
-            LogLine::List { seq, whole } => {
-                debug!(self.log, "member list updated"; "version" => seq, "whole" => whole)
-            }
-            LogLine::Attempt { id, name, member, attempt, started_ago_ms } => debug!(self.log, "attempt";
-                "transaction" => id.0, "id" => name.as_deref().unwrap_or("-"), "member" => member,
-                "attempt" => attempt, "started_ago_ms" => started_ago_ms.map(f64::round)),
-            LogLine::Moved(id, member, reason) => {
-                info!(self.log, "client moved";
-                    "transaction" => id.0, "member" => member, "reason" => ?reason)
-            }
-            LogLine::Unserved { id, class, tenant, answer, flows, waited_ms } => info!(self.log,
-                "transaction unserved"; "transaction" => id.0, "class" => class.0, "tenant" => tenant.0,
-                "answer" => ?answer, "flows" => flows, "waited_ms" => waited_ms.round()),
-            LogLine::Probed(member, Outcome::Ok, load, message) => {
-                debug!(self.log, "probe answered";
-                    "member" => member, "load" => ?load, "message_ms" => ?message)
-            }
-            LogLine::Probed(member, outcome, ..) => {
-                info!(self.log, "probe failed"; "member" => member, "outcome" => ?outcome)
-            }
-            LogLine::Flow { id, member, outcome, took_ms, stood } => info!(self.log,
-                "server-side flow ended"; "transaction" => id.0, "member" => member,
-                "outcome" => ?outcome, "stood" => stood, "took_ms" => took_ms.round()),
-        }
-    }
-
     /// Logs that a part has panicked and is started again. While it keeps failing the node is not ready.
     fn part_failed(self: &Rc<Self>, part: Part, restart: Restart) {
         slog::error!(self.log, "part of the node panicked, starting it again";
@@ -326,9 +219,6 @@
     Xmpp(XmppSettings, PathBuf),
 }
 
-/// Creates the front of a client that connects at the given time.
-type FrontFactory = Box<dyn Fn(Millis) -> Box<dyn Front>>;
-
 /// Runs a node until SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -338,7 +228,7 @@
     runtime.block_on(LocalSet::new().run_until(async {
         let listener = match config.passed_socket {
             Some(number) => TcpListener::from_std(hopmoor_passed::listener(number)?)?,
-            None => listen(config.listen)?,
+            None => listener::listen(config.listen)?,
         };
         let admin = config.admin.map(admin::bind).transpose()?;
         let ports = match &config.fleet {
@@ -349,16 +239,6 @@
     }))
 }
 
-/// Listens with a backlog sized for bursts of connections: with the usual 128 the kernel dropped the excess,
-/// and those clients tried again a second later.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    // Lets the node bind its address again immediately after a restart.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(LISTEN_BACKLOG)
-}
-
 /// Runs a node on bound listeners: the clients', and the admin endpoint's if there is one.
 ///
 /// # Errors
@@ -451,7 +331,7 @@
     }
     let listener_passed = config.passed_socket.is_some();
     let mut source;
-    let front: FrontFactory = match front_config {
+    let front: listener::FrontFactory = match front_config {
         FrontConfig::Platform(file) => {
             let platform_settings = Rc::new(platform::PlatformSettings::new(&config.site));
             source = Source::Config(file, Box::new(config));
@@ -465,7 +345,7 @@
     };
     let (clients, listener, front) = (node.clone(), Rc::new(listener), Rc::new(front));
     supervisor::spawn(&node, Part::ClientListener, move || {
-        accept(clients.clone(), listener.clone(), front.clone(), listener_passed)
+        listener::accept(clients.clone(), listener.clone(), front.clone(), listener_passed)
     });
     let waiting = node.clone();
     tokio::task::spawn_local(async move {
@@ -488,39 +368,12 @@
             _ = interrupt.recv() => break,
         }
     }
-    shut_down(&node, listener_passed).await;
+    shutdown::shut_down(&node, listener_passed).await;
     recorder::finish(&node);
     node.print_counters("exit");
     Ok(())
 }
 
-/// Shuts down gracefully: serves on while clients are moved, until none is left or the time given by the
-/// broker is over.
-async fn shut_down(node: &Rc<Node>, listener_passed: bool) {
-    let began = node.clock.now();
-    fleet::begin_shutdown(node, listener_passed);
-    if listener_passed {
-        // Another process accepts on the same queue and takes the connections not accepted yet.
-        node.stop_accepting.notify_one();
-    }
-    // Without a passed listener no other process would take the connections that still arrive.
-    let min_ms = if listener_passed { 0.0 } else { MIN_SHUTDOWN_MS };
-    info!(node.log, "shutting down"; "transactions" => node.broker.borrow().transactions());
-    let deadline = began + node.with(|broker, now| broker.leave(now));
-    while node.clock.now() < deadline {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        let closed = node.clock.now() > began + min_ms;
-        if closed && node.broker.borrow().transactions() == 0 && node.descriptors.borrow().is_empty() {
-            break;
-        }
-    }
-    let left = node.broker.borrow().transactions();
-    if left > 0 {
-        warn!(node.log, "shutdown time is over, closing open transactions"; "transactions" => left);
-    }
-    fleet::leave(node);
-}
-
 /// Fires the broker's timers.
 async fn run_timers(node: Rc<Node>) {
     loop {
@@ -537,44 +390,3 @@
         }
     }
 }
-
-/// Accepts clients. On a passed listener it does so only while this process is ready and not shutting down,
-/// as another process may accept on it as well.
-async fn accept(node: Rc<Node>, listener: Rc<TcpListener>, front: Rc<FrontFactory>, listener_passed: bool) {
-    if listener_passed {
-        node.ready_to_accept.notified().await;
-        // Kept for this task's next start, should it be started again.
-        node.ready_to_accept.notify_one();
-    }
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = node.stop_accepting.notified() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let (client, peer): (_, SocketAddr) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!(node.log, "accept failed"; "error" => %error);
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        let id = node.broker.borrow_mut().next_id();
-        let (send, commands) = mpsc::unbounded_channel();
-        let (room, evicted) = node.descriptors.borrow_mut().admit(node.clock.now(), id, send);
-        node.report_evicted(evicted);
-        let mut front = front(node.clock.now());
-        if !room {
-            // No evictable connection is left, so the client is rejected at once.
-            node.no_room(id, peer, None);
-            front.take(node.clock.now(), Input::Command(Command::Reject(NO_ROOM_RETRY_MS)));
-            let _ = client.try_write(front.to_client());
-            continue;
-        }
-        tokio::task::spawn_local(session::run(node.clone(), id, peer, client, front, commands));
-        // Lets sessions read first: a client whose line has arrived must not be evicted as silent for the
-        // next one.
-        tokio::task::yield_now().await;
-    }
-}
