Wake the timers' task after a call of the broker that panicked

A call that set an earlier timer and then panicked left the timers' task asleep until the later one, unless the panic was its own. Change: Node::with notifies it in that case too.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -103,6 +103,8 @@
                 Ok(done) => done,
                 Err(panic) => {
                     broker.recover_from_panic();
+                    // The call may have set a timer before it panicked.
+                    self.timer_changed.notify_one();
                     resume_unwind(panic)
                 }
             };
