--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,9 +2,9 @@
 //! `record.txt` is written. Ends with 0 if the rule held, 1 if it was broken, 2 if the case could not run. With
 //! `TROUBLE=0` in the environment the case runs without its disruption.
 
+mod crowded;
 mod lagging_replica;
 mod mid_line;
-mod pieces;
 mod silent_client;
 mod tools;
 mod twin;
@@ -38,8 +38,8 @@
     let case = Case { root: PathBuf::from(root), folder: folder.clone(), record: record.clone(), trouble };
     let held = match name.as_str() {
         "mid_line" => mid_line::run(&case),
+        "crowded" => crowded::run(&case),
         "lagging_replica" => lagging_replica::run(&case),
-        "pieces" => pieces::run(&case),
         "silent_client" => silent_client::run(&case),
         "twin" => twin::run(&case),
         _ => Err("no such case".into()),
