--- a/review/standin-2/crowded.rs
+++ b/review/standin-2/crowded.rs
@@ -95,6 +95,7 @@
     // The nodes' watches end within 2 s; their next calls wait in line.
     sleep(4_000);
     let draining = &members[..2];
+    draining.iter().for_each(|member| member.draining.store(true, SeqCst));
     let changes: Vec<(&str, &str, &'static str)> =
         draining.iter().map(|member| (&*member.name, &*member.address, "Terminating")).collect();
     let changed = record.now();
--- a/review/standin-2/lagging_replica.rs
+++ b/review/standin-2/lagging_replica.rs
@@ -39,6 +39,7 @@
     });
     sleep(1_500);
     let draining = &members[0];
+    draining.draining.store(true, SeqCst);
     old.set(&[(&draining.name, &draining.address, "Terminating")]);
     if !case.trouble {
         new.set(&[(&draining.name, &draining.address, "Terminating")]);
--- a/review/standin-2/mid_line.rs
+++ b/review/standin-2/mid_line.rs
@@ -72,6 +72,7 @@
     while record.now() < end {
         if record.now() >= next_line {
             next_line += 2_000.0;
+            record.line(&format!("client {0}: sends HELLO {0}", client.id));
             if let Some(stream) = &mut stream {
                 let _ = stream.write_all(format!("HELLO {}\r\n", client.id).as_bytes());
             }
--- a/review/standin-2/silent_client.rs
+++ b/review/standin-2/silent_client.rs
@@ -16,7 +16,7 @@
 const LINES_PER_SECOND: u64 = 60;
 
 fn streams_slides() -> Serve {
-    Arc::new(|_, mut reader: BufReader<TcpStream>, mut writer: TcpStream, id: &str| {
+    Arc::new(|member, mut reader: BufReader<TcpStream>, mut writer: TcpStream, id: &str| {
         // The next line of slides answers a client's line.
         thread::spawn(move || {
             let mut line = String::new();
@@ -28,8 +28,12 @@
         for n in 0u64.. {
             let line = format!("SLIDE {id} {n:08} {}\r\n", "x".repeat(4_000));
             if writer.write_all(line.as_bytes()).is_err() {
+                member.record.line(&format!("{}: {id} ended after {n} lines of slides", member.name));
                 return;
             }
+            if n % LINES_PER_SECOND == 0 {
+                member.record.line(&format!("{}: wrote line {n} of the slides to {id}", member.name));
+            }
             let due = Duration::from_millis(n * 1_000 / LINES_PER_SECOND);
             thread::sleep(due.saturating_sub(start.elapsed()));
         }
@@ -52,6 +56,7 @@
         }
         if record.now() >= next_line {
             next_line = record.now() + 2_000.0;
+            record.line(&format!("client {}: sends HELLO", client.id));
             let _ = client.stream.write_all(b"HELLO\r\n");
         }
         match client.reader.read(&mut buffer) {
--- a/review/standin-2/tools.rs
+++ b/review/standin-2/tools.rs
@@ -8,7 +8,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -441,6 +441,8 @@
     pub record: Arc<Record>,
     pub attempts: Arc<Mutex<Vec<Attempt>>>,
     pub held: Arc<AtomicU64>,
+    /// Whether it drains: it turns new requests away then.
+    pub draining: Arc<AtomicBool>,
 }
 
 impl Member {
@@ -452,6 +454,7 @@
             record: record.clone(),
             attempts: Arc::default(),
             held: Arc::default(),
+            draining: Arc::default(),
         };
         let accepting = member.clone();
         thread::spawn(move || {
@@ -492,6 +495,11 @@
             let id = id.to_owned();
             lock(&self.attempts).push(Attempt { at: first_byte, id: id.clone() });
             self.record.line(&format!("{}: got OPEN {id}", self.name));
+            if self.draining.load(SeqCst) {
+                self.record.line(&format!("{}: answered BUSY to {id}", self.name));
+                writer.write_all(b"BUSY\r\n")?;
+                continue;
+            }
             write!(writer, "UP {}-{id}\r\n", self.name)?;
             self.record.line(&format!("{}: answered UP to {id}", self.name));
             self.held.fetch_add(1, SeqCst);
--- a/review/standin-2/xmpp.rs
+++ b/review/standin-2/xmpp.rs
@@ -104,6 +104,7 @@
         write!(writer, "{head}<stream:features>{features}</stream:features>").ok()?;
         reader.until(&["</auth>"], long)?;
         write!(writer, "<success xmlns='{SASL}'/>").ok()?;
+        self.record.line(&format!("{}: got auth of {who}, answered success", self.name));
         reader.until(&["version='1.0'>"], long)?;
         write!(writer, "{head}<stream:features><bind xmlns='{BIND}'/></stream:features>").ok()?;
         reader.until(&["</iq>"], long)?;
@@ -153,6 +154,10 @@
                 return Ok(Negotiated::Ended);
             }
         }
+        let answered = mark.trim_matches(['<', '>', '/']).split(' ').next().unwrap_or("");
+        let sends = next.trim_start_matches("<?xml version='1.0'?>").split(' ').next().unwrap_or("");
+        let sends = if n < 3 { format!(", sends {sends}>") } else { String::new() };
+        record.line(&format!("client {who}: got {answered}{sends}"));
         if n < 3 {
             if writer.write_all(next.as_bytes()).is_err() {
                 record.line(&format!("client {who}: can't write any more"));
