--- a/review/standin-2/crowded.rs
+++ b/review/standin-2/crowded.rs
@@ -10,9 +10,9 @@
 use std::thread;
 use std::time::Duration;
 
-const NODES: usize = 3;
+const NODES: usize = 4;
 /// Other callers of discovery, as those of a fleet whose nodes start anew, and for how long they call.
-const CALLERS: usize = 120;
+const CALLERS: usize = 240;
 const CROWDED_MS: f64 = 20_000.0;
 /// Discovery handles four calls a second, and drops one that has waited for 2 s.
 const CALL_MS: f64 = 250.0;
@@ -89,12 +89,12 @@
             let (address, stop) = (discovery.address.clone(), callers_stop.clone());
             let (served, refused) = (served.clone(), refused.clone());
             thread::spawn(move || caller(number, &address, &stop, &served, &refused));
-            sleep(8);
+            sleep(4);
         }
     }
     // The nodes' watches end within 2 s; their next calls wait in line.
     sleep(4_000);
-    let draining = &members[..2];
+    let draining = &members[..4];
     draining.iter().for_each(|member| member.draining.store(true, SeqCst));
     let changes: Vec<(&str, &str, &'static str)> =
         draining.iter().map(|member| (&*member.name, &*member.address, "Terminating")).collect();
