Tell a crowded discovery from one that is down by how long its calls waited

Cause: each 503 counted as an outage and renewed the lease on the list, also one that came after 2 s in discovery's queue. The lease was given the verdict "down", not what the node saw. Evidence: a node's log has a 503 some 2 s after each call and no new version, and sends go on; a node whose lease had expired sends again after its next 503. Change: CallFailure::of_call classifies by how the call ended, how long it waited and whether it continued a watch. Only a call that failed sooner than a queue drops one renews the lease.

--- a/src/net/watch.rs
+++ b/src/net/watch.rs
@@ -4,7 +4,7 @@
 use crate::api::Millis;
 use crate::broker::ListError;
 use crate::discovery::{Call, Reply, changes_request, full_list_request};
-use crate::freshness::{CallFailure, PROMPT_REFUSAL_MS};
+use crate::freshness::{CallEnd, CallFailure};
 use crate::pool::decode;
 use slog::warn;
 use std::io;
@@ -44,9 +44,8 @@
 /// again: a hundred nodes kept a discovery busy with such calls for 13 s. So the node waits until discovery
 /// itself drops the call: 2 s in its queue, and some time to answer.
 const QUEUED_ANSWER_TIMEOUT: Duration = Duration::from_millis(2_600);
-/// HTTP status that discovery answers when it is down, and also when a call has queued for too long. Both
-/// come after about 2 s, so they can't be told apart, and are taken as down: a node that took an outage for a
-/// long queue would send nothing for as long as it lasts.
+/// HTTP status that discovery answers when it is down, and also when a call has queued for too long.
+/// [`CallFailure::of_call`] tells them apart.
 const SERVICE_UNAVAILABLE: u16 = 503;
 /// HTTP status of an answer with a list or changes to one. An answer with another status holds no change.
 const OK: u16 = 200;
@@ -79,7 +78,7 @@
                 &mut refetch_whole,
             ) => error,
         };
-        let FailedCall { failure, error, retry_now } = error;
+        let Some(FailedCall { failure, error, retry_now }) = error else { continue };
         node.with(|broker, now| broker.discovery_call_failed(now, failure));
         if retry_now {
             // The changes in the lost answer count as known to the node already, so it calls again without
@@ -102,7 +101,7 @@
     }
 }
 
-/// Calls discovery until a call fails. It first requests the whole list at a new address, whose version
+/// Calls discovery until a call fails; returns `None` once the broker wants no more updates. It first requests the whole list at a new address, whose version
 /// numbers may differ from those of the old address, and after an answer that was older than the list in use.
 async fn call_until_failure(
     node: &Rc<Node>,
@@ -110,7 +109,7 @@
     zones: &[String],
     address_changed_at: &mut Option<Instant>,
     refetch_whole: &mut bool,
-) -> FailedCall {
+) -> Option<FailedCall> {
     let authority = address.to_string();
     let mut stream = None;
     let (mut first, mut slow) = (true, false);
@@ -129,39 +128,30 @@
             match connect(address).await {
                 Ok(connected) => stream = Some(connected),
                 Err(error) => {
-                    return FailedCall {
-                        failure: CallFailure::Down,
-                        error: error.to_string(),
-                        retry_now: false,
-                    };
+                    return Some(FailedCall::new(CallFailure::Down, error.to_string()));
                 }
             }
         }
-        // Discovery that is down refuses at once. A call that failed later was queued, or its watch broke.
-        let prompt = || first && began.elapsed().as_secs_f64() * 1_000.0 < PROMPT_REFUSAL_MS;
-        let failed = |error| {
-            let failure = if prompt() { CallFailure::Down } else { CallFailure::Unanswered };
-            FailedCall { failure, error, retry_now: false }
+        let failed = |end, error| {
+            let failure = CallFailure::of_call(end, milliseconds(began.elapsed()), !first);
+            Some(FailedCall::new(failure, error))
         };
         let Answer { reply, began: answered } = match call(node, &mut stream, request, limit).await {
             Ok(answer) => answer,
-            Err(NoAnswer::TimedOut) => return FailedCall::unanswered("no answer"),
-            Err(NoAnswer::TooSlow) => return FailedCall::unanswered("answer takes too long"),
-            Err(NoAnswer::ConnectionFailed(error)) => return failed(error.to_string()),
-            Err(NoAnswer::Invalid { began, error }) => return invalid_answer(node, began, &error, !first),
+            Err(NoAnswer::TimedOut) => return Some(FailedCall::unanswered("no answer")),
+            Err(NoAnswer::TooSlow) => return Some(FailedCall::unanswered("answer takes too long")),
+            Err(NoAnswer::ConnectionFailed(error)) => return failed(CallEnd::Broken, error.to_string()),
+            Err(NoAnswer::Invalid { began, error }) => {
+                return Some(invalid_answer(node, began, &error, !first));
+            }
         };
         slow = answered.elapsed() > SLOW_READ;
         // The answer may be as old as the call, as it may have been in transit for all the time since.
         let as_of = |now| now - milliseconds(began.elapsed());
-        if reply.status == SERVICE_UNAVAILABLE {
-            return FailedCall {
-                failure: CallFailure::Down,
-                error: format!("status {}", reply.status),
-                retry_now: false,
-            };
-        }
         if reply.status != OK {
-            return failed(format!("status {}", reply.status));
+            let is_refusal = reply.status == SERVICE_UNAVAILABLE;
+            let end = if is_refusal { CallEnd::Refused } else { CallEnd::Broken };
+            return failed(end, format!("status {}", reply.status));
         }
         if !reply.reusable {
             stream = None;
@@ -177,14 +167,16 @@
                 let taken = node.with(|broker, now| broker.listed(now, list, as_of(now)));
                 if let Err(list_error) = taken {
                     *refetch_whole = matches!(list_error, ListError::Older { .. });
-                    return FailedCall::unanswered(&format!("bad answer: {list_error}"));
+                    return Some(FailedCall::unanswered(&format!("bad answer: {list_error}")));
                 }
             }
-            Err(error) => return invalid_answer(node, answered, &format!("bad answer: {error}"), !first),
+            Err(error) => {
+                return Some(invalid_answer(node, answered, &format!("bad answer: {error}"), !first));
+            }
         }
         first = address_changed_at.take().is_some();
     }
-    FailedCall::unanswered("")
+    None
 }
 
 /// The call that ended a series of calls.
@@ -196,8 +188,12 @@
 }
 
 impl FailedCall {
+    fn new(failure: CallFailure, error: String) -> Self {
+        FailedCall { failure, error, retry_now: false }
+    }
+
     fn unanswered(error: &str) -> Self {
-        FailedCall { failure: CallFailure::Unanswered, error: error.to_owned(), retry_now: false }
+        FailedCall::new(CallFailure::Unanswered, error.to_owned())
     }
 }
 
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -216,16 +216,104 @@
     assert!(answer.starts_with("UP"), "{answer}");
 }
 
+/// How a discovery fails its calls.
+#[derive(Clone, Copy, Debug)]
+enum Failing {
+    /// It answers each call with 503 at once.
+    Refusing,
+    /// It resets each connection once it has read the call.
+    Resetting,
+    /// It closes each connection once it has read the call.
+    Closing,
+    /// It handles calls in turn, and answers a call with 503 once it has waited in line for 2 s.
+    CrowdedRefusing,
+    /// The same, but the call that has waited for too long is reset.
+    CrowdedResetting,
+}
+
+impl Failing {
+    /// How long a call waits before it fails.
+    fn wait(self) -> Duration {
+        match self {
+            Failing::CrowdedRefusing | Failing::CrowdedResetting => Duration::from_secs(2),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// A discovery that fails all calls until it is stopped.
+struct FailingDiscovery {
+    stop: std::sync::mpsc::Sender<()>,
+    thread: thread::JoinHandle<ScriptedDiscovery>,
+}
+
+impl FailingDiscovery {
+    fn start(mut discovery: ScriptedDiscovery, failing: Failing) -> FailingDiscovery {
+        let (stop, stopped) = std::sync::mpsc::channel();
+        let thread = thread::spawn(move || {
+            // The call under way when the trouble begins waits like the others.
+            while stopped.recv_timeout(failing.wait()) == Err(std::sync::mpsc::RecvTimeoutError::Timeout) {
+                match failing {
+                    Failing::Refusing | Failing::CrowdedRefusing => discovery.refuse(),
+                    Failing::Resetting | Failing::CrowdedResetting => discovery.reset(),
+                    Failing::Closing => discovery.close(),
+                }
+                discovery.next_request();
+            }
+            discovery
+        });
+        FailingDiscovery { stop, thread }
+    }
+
+    /// Stops failing and returns the discovery, with a call that is not answered yet.
+    fn stop(self) -> ScriptedDiscovery {
+        self.stop.send(()).unwrap();
+        self.thread.join().unwrap()
+    }
+}
+
+/// Guards against requests to members that drain for as long as discovery has too many callers (review case
+/// 9): a refusal that came after a wait in line was taken for an outage and renewed the lease on the list.
+#[test]
+fn nothing_is_sent_by_an_old_list_while_discovery_is_crowded() {
+    for failing in [Failing::CrowdedRefusing, Failing::CrowdedResetting] {
+        let runtime = StandInRuntime::new().unwrap();
+        let drains = Member::start(&runtime, 1).unwrap();
+        let (node, discovery) = node_with_member(&drains);
+        // The member drains from now on, which no call of the node brings it.
+        let changed = std::time::Instant::now();
+        let discovery = FailingDiscovery::start(discovery, failing);
+        // A change counts as told 6 s later, and the settings allow 0.75 s more.
+        assert!(wait_until(10.0, || changed.elapsed() > Duration::from_millis(6_800)));
+        let before = drains.attempts().0;
+        while changed.elapsed() < Duration::from_secs(10) {
+            let answer = request_answer(&node);
+            let sent = drains.attempts().0 - before;
+            assert_eq!((sent, answer.starts_with("BUSY")), (0, true), "{failing:?}: {answer}");
+        }
+        let mut discovery = discovery.stop();
+        discovery.answer(&script::list(2, true, &[("s-1", &drains.address(), "Ready")]));
+        assert!(wait_until(3.0, || request_answer(&node).starts_with("UP")));
+    }
+}
+
 /// Guards against an outage's worth of requests turned away (the lease renewed by nothing cost herd+vast 0.61
-/// to 0.44): while discovery refuses calls, and no answer was on its way, the list stays in use.
+/// to 0.44): while discovery is down, and no answer was on its way, the list stays in use.
 #[test]
 fn all_requests_are_served_in_a_plain_outage_of_discovery() {
+    assert_served(Duration::from_secs(8), drop);
+    for failing in [Failing::Refusing, Failing::Resetting, Failing::Closing] {
+        assert_served(Duration::from_secs(8), |discovery| FailingDiscovery::start(discovery, failing));
+    }
+}
+
+/// Sends ten requests a second during an outage that `begin` begins; each must be served.
+fn assert_served<Outage>(outage: Duration, begin: impl Fn(ScriptedDiscovery) -> Outage) {
     let runtime = StandInRuntime::new().unwrap();
     let member = Member::start(&runtime, 1).unwrap();
     let (node, discovery) = node_with_member(&member);
-    drop(discovery);
+    let _outage = begin(discovery);
     let began = std::time::Instant::now();
-    let outage = Duration::from_secs(8);
     let mut requests = 0;
     while began.elapsed() < outage {
         requests += 1;
