Remember names of requests that may have run, so that none runs twice

Cause: a name was known only while its transaction was open, and was free as soon as the client left. A request that was cancelled before it was written whole does not count as run.

--- a/src/broker/flows.rs
+++ b/src/broker/flows.rs
@@ -123,7 +123,8 @@
             self.driver_commands.push_back(DriverCommand::Log(line));
         }
         t.stage = Stage::Waiting;
-        t.may_have_run |= may_have_run(outcome);
+        // A request that was cancelled before it was written completely can't have run.
+        t.may_have_run |= may_have_run(outcome) && (t.written || outcome != Outcome::Cancelled);
         if t.adoption.is_some() && !t.known_to_module {
             // The module does not know of this transaction yet.
             return self.adoption_failed(now, id, outcome);
@@ -134,7 +135,7 @@
             if t.committed && !was_established && outcome != Outcome::Ok {
                 self.answer(now, id, Command::Fail(Failure::Broken));
             }
-            if let Some(t) = self.forget(id).filter(|_| !was_established && outcome == Outcome::Ok) {
+            if let Some(t) = self.forget(now, id).filter(|_| !was_established && outcome == Outcome::Ok) {
                 self.classes.of(t.request.class).served += 1;
                 self.record_answer(now, &t, record::Answer::Served);
             }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -16,6 +16,7 @@
 mod permit;
 mod pool;
 mod probing;
+mod recent_names;
 mod recorder;
 mod requests;
 mod timers;
@@ -37,6 +38,7 @@
 pub use pool::ListError;
 use pool::Pool;
 use probing::Probing;
+use recent_names::RecentNames;
 use recorder::Recorder;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use timers::Timers;
@@ -116,6 +118,8 @@
     transactions: BTreeMap<TransactionId, Transaction>,
     /// Client-chosen names of the open transactions.
     open_names: BTreeSet<Box<str>>,
+    /// Names of ended transactions whose requests must not run again.
+    recent_names: RecentNames,
     /// Readiness checks that wait until the node is ready.
     readiness_checks: Vec<TransactionId>,
     pool: Pool,
@@ -165,6 +169,7 @@
             next: 0,
             transactions: BTreeMap::new(),
             open_names: BTreeSet::new(),
+            recent_names: RecentNames::default(),
             readiness_checks: Vec::new(),
             pool: Pool::default(),
             lease: Lease::unlimited(),
--- a/src/broker/moves.rs
+++ b/src/broker/moves.rs
@@ -30,7 +30,7 @@
 
     /// Moves a client: tells it to reconnect, and closes its connection, or the negotiation so far, cleanly.
     pub(super) fn move_client(&mut self, now: Millis, id: TransactionId, reason: MoveReason) {
-        let Some(t) = self.forget(id) else { return };
+        let Some(t) = self.forget(now, id) else { return };
         let Some(backend) = t.member else { return };
         self.counters.moved += 1;
         let stood_ms = (t.stage == Stage::Established).then_some((now - t.attempt_started_at) as f32);
--- a/src/broker/permit.rs
+++ b/src/broker/permit.rs
@@ -94,7 +94,7 @@
         Ok(Permit { id, member, wait_ms })
     }
 
-    fn effect(&self, t: &Transaction) -> Effect {
+    pub(super) fn effect(&self, t: &Transaction) -> Effect {
         self.balancer.settings.class(t.request.class).effect
     }
 }
--- a/src/broker/requests.rs
+++ b/src/broker/requests.rs
@@ -13,16 +13,8 @@
         if self.transactions.contains_key(&id) {
             return;
         }
-        // Guards against a client that uses the name of another open transaction: members would refuse it one
-        // after the other, and each refusal would count against the member.
-        if let Some(name) = &client_request.name
-            && !self.open_names.insert(name.clone())
-        {
-            self.counters.bad_duplicate += 1;
-            self.log(LogLine::Duplicate(id, name.clone()));
-            return self
-                .driver_commands
-                .push_back(DriverCommand::Front(id, Command::Fail(Failure::Duplicate)));
+        if !self.take_name(now, &client_request) {
+            return self.fail_duplicate(id, &client_request);
         }
         self.counters.asks += 1;
         self.recorder.append(now, || {
@@ -83,6 +75,23 @@
         }
     }
 
+    /// Takes the name of a request for its transaction. Returns false if the name may not be used: if another
+    /// open transaction has it, as members would refuse it one after the other, and each refusal would count
+    /// against the member; or if a request of that name may have run, unless this one continues it.
+    fn take_name(&mut self, now: Millis, client_request: &ClientRequest) -> bool {
+        let Some(name) = &client_request.name else { return true };
+        let has_run = client_request.adopted.is_none() && self.recent_names.contains(now, name);
+        !has_run && self.open_names.insert(name.clone())
+    }
+
+    fn fail_duplicate(&mut self, id: TransactionId, client_request: &ClientRequest) {
+        self.counters.bad_duplicate += 1;
+        if let Some(name) = &client_request.name {
+            self.log(LogLine::Duplicate(id, name.clone()));
+        }
+        self.driver_commands.push_back(DriverCommand::Front(id, Command::Fail(Failure::Duplicate)));
+    }
+
     /// Handles a flow whose member now serves the client.
     pub(super) fn on_established(&mut self, now: Millis, id: TransactionId) {
         let Some(t) = self.transactions.get_mut(&id).filter(|t| matches!(t.stage, Stage::InFlight { .. }))
@@ -124,7 +133,7 @@
         if stage != Stage::Waiting {
             self.driver_commands.push_back(DriverCommand::Front(id, Command::Abandon));
         }
-        let Some(t) = self.forget(id) else { return };
+        let Some(t) = self.forget(now, id) else { return };
         self.record_answer(now, &t, record::Answer::Left);
         if let (true, Stage::InFlight { .. }, Some(backend)) = (module_knows, stage, t.member) {
             let attempt = t.flows.saturating_sub(1);
@@ -135,7 +144,7 @@
 
     /// Sends the final answer and removes the transaction.
     pub(super) fn answer(&mut self, now: Millis, id: TransactionId, command: Command) {
-        if let Some(t) = self.forget(id) {
+        if let Some(t) = self.forget(now, id) {
             let Request { class, tenant, .. } = t.request;
             let (answer, flows, waited_ms) = (command.clone(), t.flows, now - t.asked_at);
             self.log(LogLine::Unserved { id, class, tenant, answer, flows, waited_ms });
@@ -181,13 +190,17 @@
         }
     }
 
-    /// Removes a transaction, and frees its name.
-    pub(super) fn forget(&mut self, id: TransactionId) -> Option<Transaction> {
+    /// Removes a transaction, and frees its name unless its request must not run again.
+    pub(super) fn forget(&mut self, now: Millis, id: TransactionId) -> Option<Transaction> {
         let t = self.transactions.remove(&id)?;
         self.parked.remove(&id);
         self.awaiting_list.remove(&id);
         if let Some(name) = &t.name {
             self.open_names.remove(name);
+            let may_run = t.may_have_run || t.written && t.stage != Stage::Waiting;
+            if may_run && self.effect(&t) != Effect::Free {
+                self.recent_names.remember(now, name);
+            }
         }
         Some(t)
     }
--- a/src/broker/tests.rs
+++ b/src/broker/tests.rs
@@ -408,6 +408,53 @@
     assert_eq!((counters.bad_duplicate, counters.asks), (1, 3));
 }
 
+/// Guards against a request that runs twice because its name comes again after its client has left (picture c of
+/// issue 54): the first attempt may still run at its member.
+#[test]
+fn the_name_of_a_request_that_may_have_run_is_not_sent_again() {
+    let named = || ClientRequest { name: Some("x".into()), ..request() };
+    let with_effect = |effect: Effect| {
+        let mut site = site();
+        site.settings.classes[0].effect = effect;
+        let members = vec![member("a", Phase::Serving), member("b", Phase::Serving)];
+        let broker = Broker::new(0.0, &site, 7, list(true, members));
+        let mut harness = Harness { broker, now: 0.0, driver_commands: Vec::new() };
+        harness.collect();
+        harness
+    };
+    let guarded = Effect::Guarded { within: RepeatGroup::All, window_ms: 100.0 };
+    for effect in [Effect::SingleShot, guarded, Effect::Free] {
+        for events in [
+            &[FrontEvent::Connected][..],
+            &[FrontEvent::Connected, FrontEvent::Sent],
+            &[FrontEvent::Connected, FrontEvent::Sent, FrontEvent::Up],
+        ] {
+            let mut harness = with_effect(effect);
+            let first = harness.open(named());
+            events.iter().for_each(|event| harness.on_front_event(first, event.clone()));
+            harness.on_front_event(first, FrontEvent::Left);
+            let again = harness.open(named());
+            let refused = harness.commands(again) == [Command::Fail(Failure::Duplicate)];
+            let may_have_run = events.contains(&FrontEvent::Sent);
+            assert_eq!(refused, may_have_run && effect != Effect::Free, "{effect:?} after {events:?}");
+        }
+    }
+    // A request that no member took may come again under its name, and so may a connection that it continues.
+    let mut harness = with_effect(Effect::SingleShot);
+    let first = harness.open(named());
+    harness.on_front_event(first, FrontEvent::Connected);
+    harness.on_front_event(first, FrontEvent::Sent);
+    harness.on_front_event(first, FrontEvent::Ended(Outcome::Full, None));
+    harness.on_front_event(first, FrontEvent::Left);
+    let again = harness.open(named());
+    assert_eq!(opened(&harness.commands(again)).len(), 1);
+    harness.on_front_event(again, FrontEvent::Connected);
+    harness.on_front_event(again, FrontEvent::Sent);
+    harness.on_front_event(again, FrontEvent::Left);
+    let continued = harness.open(ClientRequest { adopted: Some("a".into()), ..named() });
+    assert_eq!(opened(&harness.commands(continued)), ["a"]);
+}
+
 #[test]
 fn a_shutdown_moves_all_clients_evenly_and_in_time() {
     let mut harness = Harness::new(&["a", "b"]);
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -51,6 +51,27 @@
     assert_eq!(sent, ["3"]);
 }
 
+/// Guards against a request that runs twice because its id comes again after its client has left (picture c of
+/// issue 54).
+#[test]
+fn an_id_that_comes_again_after_its_client_has_left_does_not_run_twice() {
+    let (mut discovery, member) = (ScriptedDiscovery::new(), Member::new());
+    let unsafe_to_repeat =
+        config(&discovery.address).replace(r#""effect":"free""#, r#""effect":"single_shot""#);
+    let node = launch(&unsafe_to_repeat, |_| ());
+    discovery.serve_first_list(&[("s-1", &member.address, "Ready")]);
+    let mut leaves = node.connect().into_inner();
+    leaves.write_all(OPEN.as_bytes()).unwrap();
+    let mut flow = member.next_flow();
+    let mut line = String::new();
+    flow.read_line(&mut line).unwrap();
+    assert!(line.starts_with("OPEN 1 "));
+    drop(leaves);
+    assert_eq!(flow.read_line(&mut line).unwrap_or(0), 0, "the node kept the flow of a client that had left");
+    assert_eq!(exchange_line(&mut node.connect(), OPEN), "ERR Duplicate\r\n");
+    assert!(member.accept_waiting().is_none(), "the id was sent again");
+}
+
 /// Three hundred clients wait for a member, and up to two thirds disconnect at random moments, some in the
 /// very round in which the member becomes ready. Meanwhile the node is stopped and continued in turns, like a
 /// process that gets a small share of a core.
