Stop reading a client that does not read its answers to readiness checks

Cause: before its first line a client was read whatever was waiting for it, so that each six bytes read made six bytes of PONG that nobody fetched.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -508,8 +508,10 @@
     fn reads_client(&self) -> bool {
         match self.state {
             State::Up(_) | State::Moving | State::MemberEnded => self.to_member.len() < MAX_BUFFERED_BYTES,
+            // A client that does not read its answers to readiness checks gets no more of them.
+            State::AwaitingFirstLine | State::Ping => self.to_client.len() < MAX_BUFFERED_BYTES,
             // A client that awaits its answer is still read, so that its end is noticed.
-            _ => true,
+            State::AwaitingFlow | State::Opening { .. } | State::Closed => true,
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -328,6 +328,27 @@
     assert_eq!(drain_steps(&mut front).last(), Some(&Step::Finish));
 }
 
+/// Guards against memory that grows without end while a client sends readiness checks at full speed and reads no
+/// answer (picture b of issue 54).
+#[test]
+fn unread_answers_to_readiness_checks_are_bounded() {
+    let mut front = session();
+    let mut now = 0.0;
+    for _ in 0..50_000 {
+        if front.reads_client() {
+            front.take(now, Input::Client(b"PING\r\n"));
+        }
+        if drain_steps(&mut front).contains(&Step::Notify(FrontEvent::Ping)) {
+            front.take(now, Input::Command(Command::Ready));
+        }
+        now += 0.01;
+    }
+    assert!(front.to_client().len() < 20_000, "{} bytes", front.to_client().len());
+    now += 2_500.0;
+    front.take(now, Input::Tick);
+    assert_eq!(drain_steps(&mut front).last(), Some(&Step::Finish));
+}
+
 /// Guards against a line of the member that the node ends itself, by writing a line end before `MOVE` (review
 /// case 6).
 #[test]
