Read on from an XMPP client that awaits its answer, so that its end is seen

Cause: with 16 KiB waiting for a member that reads nothing, the front stopped reading its client, whose end then stood unseen behind what it had sent; the stream went to further members until its deadline. Change: a client without an answer is always read; what it may send until then is limited by the replay buffer (stanza_bytes). Result: the_end_of_a_client_is_seen_behind_much_that_no_member_has_read failed before and passes.

--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -492,7 +492,10 @@
     }
 
     fn reads_client(&self) -> bool {
-        self.to_member.len() < MAX_BUFFERED_BYTES
+        // A client that awaits its answer is still read, so that its end is noticed; what it may send until then
+        // is limited by the replay buffer.
+        let awaits_answer = matches!(self.state, State::AwaitingFlow | State::Negotiating) && !self.committed;
+        awaits_answer || self.to_member.len() < MAX_BUFFERED_BYTES
     }
 
     fn reads_member(&self) -> bool {
--- a/tests/xmpp_front.rs
+++ b/tests/xmpp_front.rs
@@ -19,11 +19,16 @@
 
 /// A stream whose client has sent its header.
 fn stream() -> TestStream {
+    stream_with(10_000)
+}
+
+/// The same, where a stanza may have this length.
+fn stream_with(stanza_bytes: usize) -> TestStream {
     let settings = XmppSettings {
         services: vec![("chat.example".into(), 4_000.0)],
         teams: vec![vec!["kiln.example".into()]],
         default_team: Some(0),
-        stanza_bytes: 10_000,
+        stanza_bytes,
         see_other: "127.0.0.1:5222".into(),
     };
     let mut stream = TestStream { front: Session::new(0.0, Rc::new(settings)), steps: Vec::new() };
@@ -157,3 +162,19 @@
     front.take(due, Input::Tick);
     assert!(String::from_utf8_lossy(front.to_client()).contains("<connection-timeout "));
 }
+
+/// Guards against a client whose end goes unseen behind what it sent before, and whose stream is negotiated with
+/// further members for nobody (picture c of issue 54).
+#[test]
+fn the_end_of_a_client_is_seen_behind_much_that_no_member_has_read() {
+    let mut stream = stream_with(65_536);
+    stream.open_flow();
+    let stanza = format!("<message>{}</message>", "x".repeat(4_000));
+    for _ in 0..10 {
+        assert!(stream.front.reads_client());
+        stream.take(Input::Client(stanza.as_bytes()));
+    }
+    stream.take(Input::ClientEof);
+    assert!(stream.notified(&FrontEvent::Left));
+    assert_eq!(stream.steps.last(), Some(&Step::Finish));
+}
