Bound what the streams of a process hold for peers that stop half way

Cause: each child of a stanza was kept parsed at some 11 bytes a byte received, heads could have any number of attributes, buffers kept their largest size, and nothing bounded the sum over the clients. Change: a tag may have 64 attributes, eight children are kept to identify a stanza, empty buffers are given back. A stream may hold 16 KiB; beyond that all streams share 4 MiB (src/xmpp/buffer_budget.rs), and whoever wants more is answered resource-constraint. A long stanza has 30 s.

--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -22,6 +22,9 @@
 /// Pause between two reads of what a client still sends after its final response.
 const DISCARD_PAUSE: Duration = Duration::from_millis(5);
 
+/// Largest empty buffer that is kept for the next bytes.
+const MAX_KEPT_BUFFER_BYTES: usize = 4 * 1024;
+
 type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
 
 /// The server-side flow.
@@ -345,7 +348,7 @@
     bytes.clear();
 }
 
-/// Writes as much as the socket takes without blocking.
+/// Writes as much as the socket takes without blocking. A large buffer is not kept once it is empty.
 fn write(stream: &TcpStream, bytes: &mut Vec<u8>) -> io::Result<()> {
     while !bytes.is_empty() {
         match stream.try_write(bytes) {
@@ -354,6 +357,9 @@
             Err(error) => return Err(error),
         }
     }
+    if bytes.is_empty() && bytes.capacity() > MAX_KEPT_BUFFER_BYTES {
+        *bytes = Vec::new();
+    }
     Ok(())
 }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,7 +6,7 @@
 use crate::config::{self, Config, ConfigError, Fleet, Records, Site, address};
 use crate::inventory::{self, Inventory};
 use crate::pool::{PoolList, name_hash};
-use crate::xmpp::XmppSettings;
+use crate::xmpp::{BufferBudget, XmppSettings};
 use hopmoor_record::Retention;
 use hopmoor_seal::Keys;
 use serde::Deserialize;
@@ -255,6 +255,7 @@
         // RFC 6120, 13.12: the limit must not be below 10,000 bytes.
         stanza_bytes: raw.stanza_bytes.max(10_000),
         see_other: raw.see_other_host.unwrap_or_else(|| raw.listen.clone()),
+        buffer_budget: BufferBudget::default(),
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let files = vec![path.to_owned(), file.clone()];
--- a/src/xmpp/mod.rs
+++ b/src/xmpp/mod.rs
@@ -5,17 +5,23 @@
 //!
 //! TLS is not supported: a client that requests STARTTLS is sent a failure and its stream is closed.
 
+mod buffer_budget;
 mod xml;
 
+pub use buffer_budget::BufferBudget;
+
 use crate::api::*;
 use crate::broker::{ArrivalKind, ClientError, ClientRequest, Command, Failure, FrontEvent};
 use crate::front::{FIRST_LINE_TIMEOUT_MS, Front, Input, MAX_BUFFERED_BYTES, Step};
+use buffer_budget::{OWN_BYTES, Share};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use xml::{Child, StreamItem, StreamParser, XmlError, escape};
 
 /// Subtracted from the service's deadline to cover the transit of the answer.
 const ANSWER_MARGIN_MS: Millis = 100.0;
+/// How long a peer may take for a stanza that is too long for the stream's own buffer.
+const LONG_STANZA_TIMEOUT_MS: Millis = 30_000.0;
 /// How long one side may take to close its stream after the other side has closed.
 const STREAM_CLOSE_TIMEOUT_MS: Millis = 800.0;
 const BIND_NAMESPACE: &str = "urn:ietf:params:xml:ns:xmpp-bind";
@@ -34,6 +40,8 @@
     pub stanza_bytes: usize,
     /// Address sent in `see-other-host`, to which moved clients reconnect.
     pub see_other: String,
+    /// What all streams together may hold.
+    pub buffer_budget: BufferBudget,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -81,6 +89,9 @@
     steps: VecDeque<Step>,
     /// Deadline of the current state.
     due: Option<Millis>,
+    /// Deadline of a long stanza whose end has not arrived.
+    long_stanza_due: Option<Millis>,
+    share: Share,
 }
 
 impl Session {
@@ -90,6 +101,8 @@
             state: State::AwaitingHeader,
             client_parser: StreamParser::new(settings.stanza_bytes),
             member_parser: StreamParser::new(settings.stanza_bytes),
+            share: settings.buffer_budget.share(),
+            long_stanza_due: None,
             settings,
             service: String::new(),
             replay_buffer: Vec::new(),
@@ -160,6 +173,37 @@
         self.close_with_condition(condition, "");
     }
 
+    // ---- Buffers ----
+
+    /// Counts what the stream holds against the shared budget. A peer that sends or leaves unread more than it
+    /// allows loses the stream, and so does one that takes too long for a long stanza.
+    fn check_buffers(&mut self, now: Millis) {
+        let incomplete_bytes = self.client_parser.buffered_bytes().max(self.member_parser.buffered_bytes());
+        let is_long = incomplete_bytes > OWN_BYTES && self.state != State::Closed;
+        let due = self.long_stanza_due.unwrap_or(now + LONG_STANZA_TIMEOUT_MS);
+        self.long_stanza_due = is_long.then_some(due);
+        let buffers = [&self.replay_buffer, &self.held_header, &self.to_client, &self.to_member];
+        let held_bytes = self.client_parser.buffered_bytes()
+            + self.member_parser.buffered_bytes()
+            + buffers.map(Vec::capacity).iter().sum::<usize>();
+        let is_within = self.share.set(held_bytes);
+        if is_long && now >= due {
+            self.end_for_buffers("connection-timeout", "stanza takes too long");
+        } else if !is_within {
+            self.end_for_buffers("resource-constraint", "streams hold too much");
+        }
+    }
+
+    fn end_for_buffers(&mut self, condition: &'static str, what: &'static str) {
+        if self.state != State::Closed {
+            self.fail_client(ClientError::TooLong, condition, what);
+            self.client_parser = StreamParser::new(self.settings.stanza_bytes);
+            self.member_parser = StreamParser::new(self.settings.stanza_bytes);
+            self.replay_buffer = Vec::new();
+            self.share.set(0);
+        }
+    }
+
     // ---- From the client ----
 
     fn read_client_items(&mut self, now: Millis) {
@@ -473,6 +517,7 @@
             Input::MemberWritten if self.state == State::Negotiating => self.notify_broker(FrontEvent::Sent),
             Input::MemberConnected | Input::MemberWritten | Input::Tick => {}
         }
+        self.check_buffers(now);
     }
 
     fn step(&mut self) -> Option<Step> {
@@ -480,7 +525,7 @@
     }
 
     fn due(&self) -> Option<Millis> {
-        self.due
+        self.due.into_iter().chain(self.long_stanza_due).reduce(Millis::min)
     }
 
     fn to_client(&mut self) -> &mut Vec<u8> {
--- a/src/xmpp/xml.rs
+++ b/src/xmpp/xml.rs
@@ -9,6 +9,10 @@
 
 /// Longest tag or other markup that is accepted.
 const MAX_TAG_BYTES: usize = 8 * 1024;
+/// Most attributes of a tag. Each costs many times the bytes that a peer sends for it.
+const MAX_ATTRIBUTES: usize = 64;
+/// Children of a stanza that are kept to identify it; further ones are only relayed.
+const MAX_KEPT_CHILDREN: usize = 8;
 /// Deepest nesting of elements, the stream element included.
 const MAX_DEPTH: usize = 64;
 
@@ -17,7 +21,7 @@
 pub(super) enum StreamItem {
     /// A stream header: the first one, or that of a stream restart.
     Header { attributes: Vec<(String, String)>, bytes: Vec<u8> },
-    /// A complete stanza or other top-level element.
+    /// A complete stanza or other top-level element, with its first [`MAX_KEPT_CHILDREN`] children.
     Stanza { name: String, attributes: Vec<(String, String)>, children: Vec<Child>, bytes: Vec<u8> },
     /// White space between stanzas.
     Whitespace(Vec<u8>),
@@ -75,6 +79,7 @@
 enum Token {
     Declaration,
     Start { name: String, attributes: Vec<(String, String)>, empty: bool },
+    TooManyAttributes,
     End(String),
     Text { blank: bool },
     Restricted,
@@ -129,12 +134,22 @@
 
     fn take_item_bytes(&mut self) -> Vec<u8> {
         let item_bytes = std::mem::take(&mut self.tokenized);
+        if item_bytes == self.buffer.len() {
+            // Leaves no buffer behind, as a stream is idle most of the time.
+            return std::mem::take(&mut self.buffer);
+        }
         self.buffer.drain(..item_bytes).collect()
     }
 
+    /// Bytes of memory held for items that are incomplete or not taken yet.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     fn handle_token(&mut self, token: Token) -> Result<Option<StreamItem>, XmlError> {
         match token {
             Token::Restricted => Err(XmlError::RestrictedXml),
+            Token::TooManyAttributes => Err(XmlError::PolicyViolation),
             // Its bytes become part of the header that follows.
             Token::Declaration if self.stanza.is_none() => Ok(None),
             Token::Declaration => Err(XmlError::NotWellFormed),
@@ -189,7 +204,9 @@
             2 => {
                 let namespace =
                     attributes.into_iter().find(|(name, _)| name == "xmlns").map(|(_, value)| value);
-                if let Some(stanza) = &mut self.stanza {
+                if let Some(stanza) = &mut self.stanza
+                    && stanza.children.len() < MAX_KEPT_CHILDREN
+                {
                     stanza.children.push(Child { name: name.clone(), namespace });
                 }
             }
@@ -321,9 +338,13 @@
 }
 
 fn start(input: &mut Input<'_>) -> Parsed<Token> {
-    let parts = (name, repeat(0.., attribute), take_while(0.., is_space), opt('/'), '>');
-    let (name, attributes, _, empty, _): (String, Vec<_>, &[u8], Option<_>, _) =
-        preceded('<', parts).parse_next(input)?;
+    let (name, attributes): (String, Vec<_>) =
+        preceded('<', (name, repeat(0..=MAX_ATTRIBUTES, attribute))).parse_next(input)?;
+    if attributes.len() == MAX_ATTRIBUTES && opt(attribute).parse_next(input)?.is_some() {
+        return Ok(Token::TooManyAttributes);
+    }
+    let (_, empty, _): (&[u8], Option<_>, _) =
+        (take_while(0.., is_space), opt('/'), '>').parse_next(input)?;
     Ok(Token::Start { name, attributes, empty: empty.is_some() })
 }
 
--- a/src/xmpp/xml/tests.rs
+++ b/src/xmpp/xml/tests.rs
@@ -60,3 +60,16 @@
     }
     assert_eq!(parse(b"<stream:stream to='a'><a>\xff\xfe</a>", 512, 1_000), Err(XmlError::NotWellFormed));
 }
+
+/// Guards against memory that grows with the number of children of a stanza (picture a of issue 54): 16,000 empty
+/// ones took 0.7 MB.
+#[test]
+fn only_the_first_children_of_a_stanza_are_kept() {
+    let mut parser = StreamParser::new(100_000);
+    parser.feed(b"<stream:stream><m>");
+    parser.feed(&b"<a/>".repeat(16_000));
+    parser.feed(b"</m>");
+    assert!(matches!(parser.next(), Ok(Some(StreamItem::Header { .. }))));
+    let Ok(Some(StreamItem::Stanza { children, bytes, .. })) = parser.next() else { panic!("no stanza") };
+    assert_eq!((children.len(), bytes.len()), (MAX_KEPT_CHILDREN, 64_007));
+}
--- a/tests/xmpp_front.rs
+++ b/tests/xmpp_front.rs
@@ -24,14 +24,22 @@
 
 /// The same, where a stanza may have this length.
 fn stream_with(stanza_bytes: usize) -> TestStream {
-    let settings = XmppSettings {
+    stream_of(Rc::new(settings(stanza_bytes)))
+}
+
+fn settings(stanza_bytes: usize) -> XmppSettings {
+    XmppSettings {
         services: vec![("chat.example".into(), 4_000.0)],
         teams: vec![vec!["kiln.example".into()]],
         default_team: Some(0),
         stanza_bytes,
         see_other: "127.0.0.1:5222".into(),
-    };
-    let mut stream = TestStream { front: Session::new(0.0, Rc::new(settings)), steps: Vec::new() };
+        ..XmppSettings::default()
+    }
+}
+
+fn stream_of(settings: Rc<XmppSettings>) -> TestStream {
+    let mut stream = TestStream { front: Session::new(0.0, settings), steps: Vec::new() };
     stream.take(Input::Client(CLIENT_HEADER.as_bytes()));
     stream
 }
@@ -178,3 +186,43 @@
     assert!(stream.notified(&FrontEvent::Left));
     assert_eq!(stream.steps.last(), Some(&Step::Finish));
 }
+
+/// Guards against memory that peers decide (picture a of issue 54): hundreds of clients that stop half way through a
+/// long stanza hold no more than the shared budget, and the other streams go on.
+#[test]
+fn half_stanzas_of_many_clients_are_bounded_and_end_in_time() {
+    let settings = Rc::new(settings(65_536));
+    let mut streams: Vec<_> = (0..400).map(|_| stream_of(settings.clone())).collect();
+    let half = format!("<message>{}", "x".repeat(40_000));
+    let is_refused = |stream: &TestStream| stream.steps.last() == Some(&Step::Finish);
+    for stream in &mut streams {
+        stream.take(Input::Client(half.as_bytes()));
+    }
+    let kept = streams.iter().filter(|stream| !is_refused(stream)).count();
+    assert!((20..200).contains(&kept), "{kept} of 400 hold {} bytes each", half.len());
+    for stream in streams.iter_mut().filter(|stream| is_refused(stream)) {
+        assert!(stream.take_client_output().contains("<resource-constraint "));
+    }
+    let mut other = stream_of(settings);
+    other.take(Input::Client(format!("<message>{}</message>", "x".repeat(8_000)).as_bytes()));
+    assert!(!is_refused(&other), "a stanza of the length that RFC 6120 demands");
+    for stream in streams.iter_mut().filter(|stream| !is_refused(stream)) {
+        let due = stream.front.due().unwrap();
+        assert!(due <= 31_000.0);
+        stream.front.take(due, Input::Tick);
+        assert!(stream.take_client_output().contains("<connection-timeout "));
+    }
+}
+
+/// Guards against memory and time that grow with the number of fields in a head (picture a of issue 54).
+#[test]
+fn a_tag_of_very_many_attributes_is_refused() {
+    let attributes = |count: usize| (0..count).map(|n| format!(" a{n}=''")).collect::<String>();
+    for (count, is_refused) in [(64, false), (65, true), (1_000, true)] {
+        let mut stream = stream();
+        // Refused before the tag ends.
+        stream.take(Input::Client(format!("<message{} ", attributes(count)).as_bytes()));
+        let refusal = stream.take_client_output().contains("<policy-violation ");
+        assert_eq!(refusal, is_refused, "{count} attributes");
+    }
+}
