Let a session that always has more to read yield to the others

Cause: a session waits for whatever is ready, and a socket that always has bytes is always ready. tokio's budget does not count such waits, so that the session never gave the runtime back: no accept, no timer, no other session. Change: a session yields after eight events, of 4 KiB at most each.

--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -22,6 +22,9 @@
 /// Pause between two reads of what a client still sends after its final response.
 const DISCARD_PAUSE: Duration = Duration::from_millis(5);
 
+/// Events that a session handles before others have their turn, at most 4 KiB read for each. A peer that writes at
+/// full speed is always ready to be read, so that its session would never wait by itself.
+const EVENTS_PER_TURN: usize = 8;
 /// Largest empty buffer that is kept for the next bytes.
 const MAX_KEPT_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -149,6 +152,7 @@
     let (mut client_eof, mut shut_client_when_written, mut client_write_closed) = (false, false, false);
     let mut buffer = vec![0u8; 4 * 1024];
     let mut requested = false;
+    let mut events_in_turn = 0;
     loop {
         while let Some(step) = front.step() {
             match step {
@@ -222,6 +226,11 @@
                 shut_write(stream);
             }
         }
+        if events_in_turn == EVENTS_PER_TURN {
+            events_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
+        events_in_turn += 1;
         let client_interest = interest(!client_eof && front.reads_client(), !front.to_client().is_empty());
         let member_interest = match &flow {
             Flow::Open { eof, .. } => interest(!eof && front.reads_member(), !front.to_member().is_empty()),
