Compare members of an inventory by the address that they mean

Cause: addresses were compared as text. Change: they are compared as parsed, IPv4 written as IPv6 included; the error names the address that both mean.

--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -7,6 +7,7 @@
 use crate::api::{Millis, Phase};
 use crate::pool::{ListError, Member, PoolList, check_dial, zone_index};
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::Path;
 
 /// A decoded inventory.
@@ -197,19 +198,20 @@
     fn inventory(self) -> Result<Inventory, ListError> {
         let invalid = |what: String| Err(ListError(what));
         let mut inventory = Inventory { services: self.services, ..Inventory::default() };
+        let mut addresses: Vec<SocketAddr> = Vec::new();
         for member in self.members {
-            check_dial(&member.dial)
+            let address = check_dial(&member.dial)
                 .map_err(|error| ListError(format!("members: {}: dial: {error}", member.name)))?;
             if inventory.pool.members.iter().any(|known| known.name == member.name) {
                 return invalid(format!("members: {} is listed twice", member.name));
             }
-            // A member listed under two names would be sent twice its capacity.
-            if let Some(known) = inventory.pool.members.iter().find(|known| known.dial == member.dial) {
-                return invalid(format!(
-                    "members: {} and {} are both at {}",
-                    known.name, member.name, member.dial
-                ));
+            // A member listed under two names would be sent twice its capacity, and new work while it drains under
+            // one of them.
+            if let Some(index) = addresses.iter().position(|known| *known == address) {
+                let known = &inventory.pool.members[index].name;
+                return invalid(format!("members: {known} and {} are both at {address}", member.name));
             }
+            addresses.push(address);
             if !(member.weight.is_finite() && member.weight > 0.0) {
                 return invalid(format!("members: {}: weight must be above 0", member.name));
             }
--- a/src/inventory/tests.rs
+++ b/src/inventory/tests.rs
@@ -38,6 +38,9 @@
         ("127.0.0.1:5302", "chat-b.example:5302", "chat-b"),
         ("chat-b", "chat-a", "twice"),
         ("127.0.0.1:5302", "127.0.0.1:5301", "chat-a and chat-b are both at 127.0.0.1:5301"),
+        // Guards against a server that is listed twice, its address written in two ways (review case 10).
+        ("127.0.0.1:5302", "127.0.0.1:05301", "chat-a and chat-b are both at 127.0.0.1:5301"),
+        ("127.0.0.1:5302", "[::ffff:127.0.0.1]:5301", "chat-a and chat-b are both at 127.0.0.1:5301"),
         ("deadline_ms: 4000", "deadline_ms: soon", "deadline_ms"),
         ("team: kiln, g", "team: kilm, g", "kilm"),
         ("maximum: 60", "maximum: 6", "maximum"),
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::api::{BackendId, BackendInfo, Millis, Phase, ZoneId};
 use serde::Deserialize;
 use std::fmt;
+use std::net::SocketAddr;
 
 /// One pool member as listed.
 #[derive(Clone, Debug, PartialEq)]
@@ -141,15 +142,14 @@
     zones.iter().position(|zone| zone == name).unwrap_or(zones.len()) as u32
 }
 
-/// Checks that an address can be connected to without DNS.
+/// Returns the address that a text means, however it is written; it can be connected to without DNS.
 ///
 /// # Errors
 /// If it is not an IP address with a port.
-pub fn check_dial(dial: &str) -> Result<(), ListError> {
-    match dial.parse::<std::net::SocketAddr>() {
-        Ok(_) => Ok(()),
-        Err(_) => Err(ListError(format!("'{dial}' is not an IP address with a port"))),
-    }
+pub fn check_dial(dial: &str) -> Result<SocketAddr, ListError> {
+    let address = dial.parse::<SocketAddr>();
+    let address = address.map_err(|_| ListError(format!("'{dial}' is not an IP address with a port")))?;
+    Ok(SocketAddr::new(address.ip().to_canonical(), address.port()))
 }
 
 /// Hashes a name with FNV-1a and a final mixing step; every node gets the same number for the same name.
