Keep a withdrawn member withdrawn when an older list is taken

Cause: at a new address any version is taken, and an entry replaced the member's phase though neither its version nor the member's start was newer. Change: the pool remembers by which version a member was withdrawn; an entry of an older version brings it back only with another start. 4,096 at most.

--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -8,6 +8,9 @@
 /// must have restarted its version numbers.
 const OLDER_LISTS_UNTIL_ACCEPTED: u32 = 3;
 
+/// Most withdrawn members that are remembered; those told first are dropped first.
+const MAX_WITHDRAWN: usize = 4_096;
+
 /// Why a list is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListError {
@@ -33,6 +36,15 @@
 
 impl std::error::Error for ListError {}
 
+/// A member that discovery told to be draining or gone.
+#[derive(Clone, Copy)]
+struct Withdrawal {
+    /// Version that told it.
+    seq: u64,
+    /// The member's last start as listed then.
+    born: Option<Millis>,
+}
+
 #[derive(Default)]
 pub(super) struct Pool {
     pub(super) seq: u64,
@@ -41,6 +53,7 @@
     /// Discovery has been replaced since the last accepted list, so that no version counts as older.
     numbering_changed: bool,
     members: BTreeMap<BackendId, Member>,
+    withdrawn: BTreeMap<BackendId, Withdrawal>,
 }
 
 impl Pool {
@@ -66,7 +79,8 @@
     }
 
     /// Applies a list (`complete`) or a patch. Returns its entries for the decision module, and the members
-    /// that changed.
+    /// that changed. An entry of an older version does not bring back a member that was withdrawn since, unless
+    /// the member has been started again: the version may come from a replica that runs behind.
     pub(super) fn merge(
         &mut self,
         list: PoolList,
@@ -75,11 +89,19 @@
         if complete || !list.members.is_empty() {
             self.seq = list.seq;
         }
+        let seq = list.seq;
         let mut previous = if complete { std::mem::take(&mut self.members) } else { BTreeMap::new() };
         let mut entries = Vec::with_capacity(list.members.len());
         let mut changed = Vec::new();
-        for member in list.members {
+        for mut member in list.members {
             let id = self.id_for(&member.name);
+            if member.phase == Phase::Serving && self.is_withdrawn(id, member.born, seq) {
+                if !previous.contains_key(&id) && !self.members.contains_key(&id) {
+                    continue;
+                }
+                member.phase = Phase::Draining;
+            }
+            self.note_withdrawal(id, &member, seq);
             entries.push(member.info(id));
             let old = previous.remove(&id).or_else(|| self.members.remove(&id));
             if old.is_none_or(|old| old.phase != member.phase || old.born != member.born) {
@@ -89,12 +111,38 @@
                 self.members.insert(id, member);
             }
         }
+        for (id, member) in &previous {
+            self.note_withdrawal(*id, &Member { phase: Phase::Gone, ..member.clone() }, seq);
+        }
         if complete {
             changed.extend(previous.into_iter().map(|(id, member)| (id, member.name, Phase::Gone)));
         }
         (entries, changed)
     }
 
+    /// Whether a member that started at `born` was withdrawn by a later version than `seq`.
+    fn is_withdrawn(&self, id: BackendId, born: Option<Millis>, seq: u64) -> bool {
+        self.withdrawn.get(&id).is_some_and(|withdrawal| seq < withdrawal.seq && born == withdrawal.born)
+    }
+
+    /// Remembers that a member is draining or gone, or forgets it once it serves.
+    fn note_withdrawal(&mut self, id: BackendId, member: &Member, seq: u64) {
+        if member.phase == Phase::Serving {
+            self.withdrawn.remove(&id);
+            return;
+        }
+        let withdrawal = self.withdrawn.entry(id).or_insert(Withdrawal { seq, born: member.born });
+        if withdrawal.born != member.born {
+            *withdrawal = Withdrawal { seq, born: member.born };
+        }
+        withdrawal.seq = withdrawal.seq.max(seq);
+        if self.withdrawn.len() > MAX_WITHDRAWN {
+            let oldest =
+                self.withdrawn.iter().min_by_key(|(_, withdrawal)| withdrawal.seq).map(|(id, _)| *id);
+            oldest.map(|id| self.withdrawn.remove(&id));
+        }
+    }
+
     /// Returns a member's number, a hash of its name, so that it is the same at every node. Collisions take
     /// the next free number.
     fn id_for(&self, name: &str) -> BackendId {
--- a/src/broker/pool/tests.rs
+++ b/src/broker/pool/tests.rs
@@ -49,3 +49,49 @@
     apply(&mut pool, list(1, true, &["d"])).unwrap();
     assert!(apply(&mut pool, list(0, true, &["a"])).is_err());
 }
+
+/// Guards against a draining or removed member that comes back by the older list of a replica that runs behind,
+/// after SIGHUP has named its address (review case 8).
+#[test]
+fn an_older_list_does_not_bring_back_a_withdrawn_member() {
+    let with = |seq, whole, phase, born| {
+        let mut list = list(seq, whole, &["a", "b"]);
+        (list.members[0].phase, list.members[0].born) = (phase, born);
+        list
+    };
+    let a = BackendId(name_hash("a"));
+    for withdrawn in [Phase::Draining, Phase::Gone] {
+        let mut pool = Pool::default();
+        apply(&mut pool, with(44, true, Phase::Serving, Some(7.0))).unwrap();
+        apply(&mut pool, with(45, false, withdrawn, Some(7.0))).unwrap();
+        pool.reset_numbering();
+        for seq in [43, 44] {
+            apply(&mut pool, with(seq, true, Phase::Serving, Some(7.0))).unwrap();
+            assert!(!pool.serving(a) && pool.serving(BackendId(name_hash("b"))), "version {seq}");
+        }
+        apply(&mut pool, with(45, true, withdrawn, Some(7.0))).unwrap();
+        apply(&mut pool, with(46, false, Phase::Serving, Some(7.0))).unwrap();
+        assert!(pool.serving(a), "a later version counts");
+        apply(&mut pool, with(47, false, withdrawn, Some(7.0))).unwrap();
+        pool.reset_numbering();
+        apply(&mut pool, with(1, true, Phase::Serving, Some(9.0))).unwrap();
+        assert!(pool.serving(a), "a member that has been started again counts");
+    }
+    // A member that an older complete list doesn't name is gone, and known as such.
+    let mut pool = Pool::default();
+    apply(&mut pool, with(44, true, Phase::Serving, None)).unwrap();
+    apply(&mut pool, list(45, true, &["b"])).unwrap();
+    pool.reset_numbering();
+    apply(&mut pool, with(44, true, Phase::Serving, None)).unwrap();
+    assert!(!pool.listed(a));
+}
+
+/// Guards against memory that grows with the members that come and go.
+#[test]
+fn the_number_of_remembered_withdrawals_is_bounded() {
+    let mut pool = Pool::default();
+    for seq in 1..=5_000 {
+        apply(&mut pool, list(seq, true, &[&format!("member {seq}")])).unwrap();
+    }
+    assert_eq!(pool.withdrawn.len(), MAX_WITHDRAWN);
+}
